--- /dev/null
+++ b/cmake/sycamoretray_dependencies.cmake
@@ -0,0 +1,22 @@
+# Libraries from the distribution, as imported targets.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(criterion REQUIRED IMPORTED_TARGET criterion)
+pkg_check_modules(glog REQUIRED IMPORTED_TARGET libglog)
+find_package(docopt REQUIRED)
+
+add_library(criterion::criterion ALIAS PkgConfig::criterion)
+add_library(xxhash::xxhash ALIAS PkgConfig::xxhash)
+add_library(glog_library INTERFACE)
+target_link_libraries(glog_library INTERFACE PkgConfig::glog)
+
+find_library(NNG_LIBRARY nng REQUIRED)
+find_path(NNG_INCLUDE_DIR nng/nng.h REQUIRED)
+add_library(nng_library INTERFACE)
+target_link_libraries(nng_library INTERFACE ${NNG_LIBRARY})
+target_include_directories(nng_library INTERFACE ${NNG_INCLUDE_DIR})
--- /dev/null
+++ b/cmake/sycamoretray_targets.cmake
@@ -0,0 +1,48 @@
+# Compile options shared by every target of the workspace.
+add_library(sycamoretray_options INTERFACE)
+target_compile_options(sycamoretray_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
+if(SYCAMORETRAY_SANITIZE)
+  # Boost.MSM and Beast trigger false maybe-uninitialized warnings in instrumented builds of g++ 12.
+  target_compile_options(sycamoretray_options INTERFACE
+    -fsanitize=${SYCAMORETRAY_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer -Wno-maybe-uninitialized)
+  target_link_options(sycamoretray_options INTERFACE -fsanitize=${SYCAMORETRAY_SANITIZE})
+endif()
+
+# sycamoretray_library(NAME base SOURCES a.cpp LINK other_lib [PRIVATE_LINK ...])
+#
+# Defines the library target sycamoretray_NAME from sources in the current directory.
+# Its headers are included as <NAME/header.h>.
+function(sycamoretray_library)
+  cmake_parse_arguments(ARG "" "NAME" "SOURCES;LINK;PRIVATE_LINK" ${ARGN})
+  set(target sycamoretray_${ARG_NAME})
+  if(ARG_SOURCES)
+    add_library(${target} STATIC ${ARG_SOURCES})
+    target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/libs)
+    target_link_libraries(${target} PUBLIC ${ARG_LINK} PRIVATE sycamoretray_options ${ARG_PRIVATE_LINK})
+  else()
+    add_library(${target} INTERFACE)
+    target_include_directories(${target} INTERFACE ${PROJECT_SOURCE_DIR}/libs)
+    target_link_libraries(${target} INTERFACE ${ARG_LINK})
+  endif()
+endfunction()
+
+# sycamoretray_executable(NAME program SOURCES main.cpp LINK sycamoretray_base)
+function(sycamoretray_executable)
+  cmake_parse_arguments(ARG "" "NAME" "SOURCES;LINK" ${ARGN})
+  add_executable(${ARG_NAME} ${ARG_SOURCES})
+  target_link_libraries(${ARG_NAME} PRIVATE sycamoretray_options ${ARG_LINK})
+endfunction()
+
+# sycamoretray_unit_test(NAME base_test SOURCES base_test.cpp LINK sycamoretray_base)
+#
+# Defines a Criterion test program and registers it with CTest.
+function(sycamoretray_unit_test)
+  cmake_parse_arguments(ARG "" "NAME;TIMEOUT" "SOURCES;LINK" ${ARGN})
+  add_executable(${ARG_NAME} ${ARG_SOURCES})
+  target_link_libraries(${ARG_NAME} PRIVATE sycamoretray_options ${ARG_LINK} criterion::criterion)
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 120)
+  endif()
+  add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME} --timeout ${ARG_TIMEOUT})
+  set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
