--- a/libs/controller/controller_events.h
+++ b/libs/controller/controller_events.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/monotonic_time.h"
 #include "base/result_code.h"
+#include "configuration/document_kind.h"
 
 #include <cstdint>
 #include <string>
@@ -103,11 +104,6 @@
     double serverRequestsPerSecond = 0;
 };
 
-enum class document_kind {
-    template_document,
-    parameter_set,
-};
-
 /** An operator wants to publish. Answered by publish_outcome with the same operation. */
 struct publish_requested {
     operation_id operation;
