--- /dev/null
+++ b/libs/placement/home_ranking.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace sycamoretray
+{
+
+/** An instance that may become home of a server. */
+struct home_candidate {
+    incarnation_id incarnation;
+    availability_zone zone;
+    std::uint32_t homes = 0;
+};
+
+/**
+ * Returns the candidates in the order in which they may claim @p server: by number of homes, then those in another zone than
+ * @p serverZone, then by rendezvous hash. Thread-safe.
+ */
+std::vector<home_candidate> rankHomes(const server_id &server, const availability_zone &serverZone, std::vector<home_candidate> candidates);
+
+} // namespace sycamoretray
