--- a/libs/control_state/control_state.cpp
+++ b/libs/control_state/control_state.cpp
@@ -48,9 +48,8 @@
 void control_state::requireNotNewerThan(const control_state &newer) const
 {
     requireInvariant(newer.m_position >= m_position, "a snapshot does not go back", std::to_string(newer.m_position.value()));
-    requireInvariant(newer.m_configuration.version() >= m_configuration.version(),
-                     "the configuration version never falls",
-                     std::to_string(newer.m_configuration.version()));
+    requireInvariant(
+        newer.m_configuration.version() >= m_configuration.version(), "the configuration version never falls", std::to_string(newer.m_configuration.version()));
     for (const auto &[id, server] : m_servers) {
         const server_state *other = newer.findServer(id);
         requireInvariant(other == nullptr || other->term >= server.term, "terms only grow", id.value());
@@ -60,9 +59,8 @@
         for (std::uint32_t slot = 0; other != nullptr && slot < hashSlotCount; ++slot) {
             const hash_slot s(static_cast<std::uint16_t>(slot));
             requireInvariant(other->tokenOf(s) >= table.tokenOf(s), "fencing tokens only grow", service.value());
-            requireInvariant(other->tokenOf(s) > table.tokenOf(s) || other->ownerOf(s) == table.ownerOf(s),
-                             "an acknowledged assignment is not lost",
-                             service.value());
+            requireInvariant(
+                other->tokenOf(s) > table.tokenOf(s) || other->ownerOf(s) == table.ownerOf(s), "an acknowledged assignment is not lost", service.value());
         }
     }
 }
--- a/libs/control_state/record_applier.cpp
+++ b/libs/control_state/record_applier.cpp
@@ -31,8 +31,7 @@
 apply_outcome record_applier::apply(std::string_view data)
 {
     auto record = std::make_shared<pb::Record>();
-    if (!record->ParseFromArray(data.data(), static_cast<int>(data.size())) || record->author().empty()
-        || record->body_case() == pb::Record::BODY_NOT_SET) {
+    if (!record->ParseFromArray(data.data(), static_cast<int>(data.size())) || record->author().empty() || record->body_case() == pb::Record::BODY_NOT_SET) {
         m_outcome.verdict = record_verdict::corrupt;
         m_outcome.reason = "cannot be decoded";
         return m_outcome;
--- a/libs/control_state/slot_table.cpp
+++ b/libs/control_state/slot_table.cpp
@@ -182,8 +182,7 @@
     for (const std::string &server : in.servers()) {
         m_servers.emplace_back(server);
     }
-    if (!std::is_sorted(m_servers.begin(), m_servers.end()) || in.run_owners_size() != in.run_lengths_size()
-        || in.run_tokens_size() != in.run_lengths_size()) {
+    if (!std::is_sorted(m_servers.begin(), m_servers.end()) || in.run_owners_size() != in.run_lengths_size() || in.run_tokens_size() != in.run_lengths_size()) {
         return false;
     }
     std::size_t slot = 0;
--- a/libs/control_state/state_snapshot.cpp
+++ b/libs/control_state/state_snapshot.cpp
@@ -1,7 +1,6 @@
 #include "control_state/control_state.h"
 #include "control_state/record_applier.h"
 
-
 namespace sycamoretray
 {
 
--- a/libs/placement/bounded_ring_policy.cpp
+++ b/libs/placement/bounded_ring_policy.cpp
@@ -17,7 +17,8 @@
 std::vector<ring_point> buildRing(const placement_servers &servers)
 {
     std::vector<ring_point> ring;
-    for (server_index i = 0; i < servers.size(); ++i) {
+    const auto serverCount = static_cast<server_index>(servers.size());
+    for (server_index i = 0; i < serverCount; ++i) {
         for (std::uint64_t point = 0; servers[i].eligible && point < pointsPerServer; ++point) {
             ring.emplace_back(detail::placementHash(servers[i].id.value(), point), i);
         }
--- a/libs/placement/fewest_slots_policy.cpp
+++ b/libs/placement/fewest_slots_policy.cpp
@@ -25,7 +25,8 @@
 std::vector<std::uint32_t> shares(const std::vector<std::uint32_t> &counts, const placement_servers &servers, std::uint32_t total)
 {
     std::vector<server_index> order;
-    for (server_index i = 0; i < servers.size(); ++i) {
+    const auto serverCount = static_cast<server_index>(servers.size());
+    for (server_index i = 0; i < serverCount; ++i) {
         if (servers[i].eligible) {
             order.push_back(i);
         }
@@ -49,7 +50,8 @@
     const std::vector<std::uint32_t> counts = countSlots(owners, servers.size());
     using entry = std::pair<std::uint32_t, server_index>;
     std::priority_queue<entry, std::vector<entry>, std::greater<>> fewest;
-    for (server_index i = 0; i < servers.size(); ++i) {
+    const auto serverCount = static_cast<server_index>(servers.size());
+    for (server_index i = 0; i < serverCount; ++i) {
         if (servers[i].eligible) {
             fewest.emplace(counts[i], i);
         }
--- a/libs/placement/rendezvous_policy.cpp
+++ b/libs/placement/rendezvous_policy.cpp
@@ -12,7 +12,8 @@
 {
     server_index best = noServer;
     std::uint64_t bestHash = 0;
-    for (server_index i = 0; i < servers.size(); ++i) {
+    const auto serverCount = static_cast<server_index>(servers.size());
+    for (server_index i = 0; i < serverCount; ++i) {
         if (!servers[i].eligible) {
             continue;
         }
