--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -77,6 +77,11 @@
                              std::to_string(inMilliseconds(ownership.evidenceAge)),
                              "write at least twice probe_interval_ms and log_read_wait_ms, or evidence runs out between two reads");
     }
+    if (ownership.evidenceAge > ownership.lease) {
+        throw document_error(reader.pathOf("evidence_age_ms"),
+                             std::to_string(inMilliseconds(ownership.evidenceAge)),
+                             "write at most lease_ms, or the wait of a takeover does not cover the clock drift");
+    }
     if (ownership.serverLostAfter < ownership.lease + ownership.driftMargin) {
         throw document_error(
             reader.pathOf("server_lost_after_ms"), std::to_string(inMilliseconds(ownership.serverLostAfter)), "write at least lease_ms + drift_margin_ms");
