--- a/libs/base/strong_value.h
+++ b/libs/base/strong_value.h
@@ -33,6 +33,7 @@
         return m_value;
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero of a rewritten comparison for a null pointer
     friend constexpr auto operator<=>(const strong_value &, const strong_value &) = default;
 
     friend std::ostream &operator<<(std::ostream &out, const strong_value &v)
