--- a/libs/base/result_code.h
+++ b/libs/base/result_code.h
@@ -43,6 +43,7 @@
     request_id_expired = 205,
     answer_forgotten = 206,
     answer_mismatch = 207,
+    repeat_unsettled = 208,
 
     // 3xx: administration.
     unknown_name = 300,
