Add the dispatcher of a home

The decision logic for one server: at-most-once memory, queues for short and long work with customers in turn, admission by expected delay, held slots, crash suspects, retries with a budget, cancellation and slow start.

--- /dev/null
+++ b/libs/dispatch/request_id_time.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/monotonic_time.h"
+
+#include <optional>
+#include <string_view>
+
+namespace sycamoretray
+{
+
+/**
+ * Returns the creation time that a UUID version 7 carries, or nothing if @p text is not the 36-character form of such
+ * a UUID. Thread-safe.
+ */
+std::optional<wall_time> creationTimeOfRequestId(std::string_view text) noexcept;
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/dispatch/retry_budget.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <algorithm>
+
+namespace sycamoretray
+{
+
+/**
+ * Limits retries to a share of the traffic. Each request earns a fraction of a retry; a retry costs one.
+ *
+ * Thread safety: none.
+ */
+class retry_budget
+{
+public:
+    /** @param share  retries per request, 0 or more */
+    explicit retry_budget(double share) noexcept
+        : m_share(share)
+    {
+    }
+
+    /** Counts a request from a caller. */
+    void earn() noexcept
+    {
+        m_balance = std::min(maximumBalance, m_balance + m_share);
+    }
+
+    /** Takes one retry from the budget; false if there is none left. */
+    bool spend() noexcept
+    {
+        if (m_balance < 1) {
+            return false;
+        }
+        m_balance -= 1;
+        return true;
+    }
+
+private:
+    /** Bounds the burst after a quiet time to a few crashes of a server with three worker slots. */
+    static constexpr double maximumBalance = 10;
+
+    double m_share;
+    double m_balance = maximumBalance;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/dispatch/run_time_table.cpp
@@ -0,0 +1,149 @@
+#include "dispatch/run_time_table.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/rolling_mean.hpp>
+#include <boost/accumulators/statistics/rolling_variance.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+namespace acc = boost::accumulators;
+
+using run_time_accumulator = acc::accumulator_set<double, acc::stats<acc::tag::rolling_mean, acc::tag::rolling_variance>>;
+
+constexpr std::uint32_t maximumClasses = 256;
+/** The window follows a change of speed within 32 answers and keeps the error of the mean of 20 % noise below 4 %. */
+constexpr std::size_t windowSize = 32;
+constexpr std::uint32_t samplesToLearn = 4;
+/** Traffic counts are halved after this many samples, so that a class that is no longer used stops being the reference. */
+constexpr std::uint32_t samplesPerDecay = 1024;
+constexpr int longFactor = 4;
+constexpr int shortAgainFactor = 3;
+constexpr double overallWeight = 0.05;
+constexpr time_span unknownRunTime = std::chrono::milliseconds(1);
+
+} // namespace
+
+struct run_time_table::class_estimate {
+    run_time_accumulator accumulator{ acc::tag::rolling_window::window_size = windowSize };
+    std::uint32_t samples = 0;
+    std::uint32_t traffic = 0;
+    time_span mean{};
+    time_span cautious{};
+    bool isLong = false;
+};
+
+run_time_table::run_time_table()
+    : m_largestShort(unknownRunTime)
+    , m_largestLong(unknownRunTime)
+{
+}
+
+run_time_table::~run_time_table() = default;
+run_time_table::run_time_table(run_time_table &&) noexcept = default;
+run_time_table &run_time_table::operator=(run_time_table &&) noexcept = default;
+
+const run_time_table::class_estimate *run_time_table::find(std::uint32_t requestClass) const noexcept
+{
+    const std::uint32_t position = std::min(requestClass, maximumClasses);
+    return position < m_classes.size() ? m_classes[position].get() : nullptr;
+}
+
+void run_time_table::learn(std::uint32_t requestClass, time_span runTime)
+{
+    const std::uint32_t position = std::min(requestClass, maximumClasses);
+    if (position >= m_classes.size()) {
+        m_classes.resize(position + 1);
+    }
+    if (!m_classes[position]) {
+        m_classes[position] = std::make_unique<class_estimate>();
+    }
+    class_estimate &estimate = *m_classes[position];
+    estimate.accumulator(static_cast<double>(runTime.count()));
+    ++estimate.traffic;
+    estimate.samples = std::min(estimate.samples + 1, samplesToLearn);
+    const double mean = acc::rolling_mean(estimate.accumulator);
+    const double variance = estimate.samples > 1 ? std::max(0.0, acc::rolling_variance(estimate.accumulator)) : 0.0;
+    estimate.mean = time_span(std::max<time_span::rep>(1, std::llround(mean)));
+    estimate.cautious = time_span(std::max<time_span::rep>(1, std::llround(mean + 2 * std::sqrt(variance))));
+    const double overall = static_cast<double>(m_overall.count());
+    m_overall = m_samples == 0 ? estimate.mean : time_span(std::llround(overall + overallWeight * (mean - overall)));
+    if (++m_samples % samplesPerDecay == 0) {
+        for (const auto &each : m_classes) {
+            if (each) {
+                each->traffic /= 2;
+            }
+        }
+    }
+    classify();
+}
+
+void run_time_table::classify()
+{
+    std::uint64_t traffic = 0;
+    for (const auto &each : m_classes) {
+        traffic += each ? each->traffic : 0;
+    }
+    m_reference = time_span::max();
+    for (const auto &each : m_classes) {
+        if (each && each->samples >= samplesToLearn && std::uint64_t{ each->traffic } * 100 >= traffic) {
+            m_reference = std::min(m_reference, each->mean);
+        }
+    }
+    m_largestShort = m_largestLong = time_span(0);
+    for (const auto &each : m_classes) {
+        if (!each) {
+            continue;
+        }
+        const int factor = each->isLong ? shortAgainFactor : longFactor;
+        each->isLong = each->samples >= samplesToLearn && each->mean / factor >= m_reference;
+        time_span &largest = each->isLong ? m_largestLong : m_largestShort;
+        largest = std::max(largest, each->mean);
+    }
+}
+
+time_span run_time_table::expected(std::uint32_t requestClass) const noexcept
+{
+    const class_estimate *estimate = find(requestClass);
+    if (estimate != nullptr) {
+        return estimate->mean;
+    }
+    return m_samples > 0 ? std::max(time_span(1), m_overall) : unknownRunTime;
+}
+
+time_span run_time_table::cautious(std::uint32_t requestClass) const noexcept
+{
+    const class_estimate *estimate = find(requestClass);
+    return estimate != nullptr && estimate->samples >= samplesToLearn ? estimate->cautious : time_span(0);
+}
+
+bool run_time_table::learnt(std::uint32_t requestClass) const noexcept
+{
+    const class_estimate *estimate = find(requestClass);
+    return estimate != nullptr && estimate->samples >= samplesToLearn;
+}
+
+bool run_time_table::isLong(std::uint32_t requestClass) const noexcept
+{
+    const class_estimate *estimate = find(requestClass);
+    return estimate != nullptr && estimate->isLong;
+}
+
+time_span run_time_table::longThreshold() const noexcept
+{
+    return m_reference == time_span(0) || m_reference == time_span::max() ? time_span::max() : m_reference * longFactor;
+}
+
+time_span run_time_table::largestExpected(bool longClasses) const noexcept
+{
+    return std::max(time_span(1), longClasses ? m_largestLong : m_largestShort);
+}
+
+} // namespace sycamoretray
--- a/libs/dispatch/server_dispatcher.h
+++ b/libs/dispatch/server_dispatcher.h
@@ -147,6 +147,12 @@
     std::uint64_t duplicateAnswerBytes = 64ULL * 1024 * 1024;
     time_span clockBound = std::chrono::milliseconds(500);
     double retryShare = 0.1;
+    /** Largest jittered wait before the first retry; doubled for each further one. */
+    time_span retryDelay = std::chrono::milliseconds(10);
+    /** Requests whose expected queue delay exceeds this are refused, so that the queue is short again after a peak. */
+    time_span queueDelayLimit = std::chrono::milliseconds(500);
+    /** Seed of the generator for the retry jitter. */
+    std::uint64_t seed = 0;
     std::uint32_t crashLimit = 2;
     time_span crashRefusal = std::chrono::minutes(10);
 };
@@ -199,7 +205,12 @@
     /** Copies the at-most-once memory for @p slots; all of it if @p slots is empty. */
     dispatch_transfer exportDuplicates(const std::vector<hash_slot> &slots) const;
 
-    /** Adds at-most-once memory for @p slots (all if empty), which were known to another home since transfer.knownSince. */
+    /**
+     * Adds at-most-once memory for @p slots (all if empty), which were known to another home since transfer.knownSince.
+     *
+     * To be called for every slot that the server gains while this home runs. For slots gained without a transfer (after a
+     * loss) pass no records and the current time as knownSince; otherwise an id that ran at the lost server could run again.
+     */
     void importDuplicates(const dispatch_transfer &transfer, const std::vector<hash_slot> &slots);
 
     /** Expected time a request of @p requestClass would wait in the queue now. */
--- /dev/null
+++ b/libs/dispatch/server_dispatcher_impl.cpp
@@ -0,0 +1,327 @@
+#include "dispatch/server_dispatcher_impl.h"
+
+#include <algorithm>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+/** An answer within this factor of the learnt run time counts as proof that a cold server is warm. */
+constexpr int warmFactor = 2;
+constexpr std::uint32_t maximumBackoffDoublings = 6;
+
+} // namespace
+
+server_dispatcher::impl::impl(const dispatcher_settings &settings, wall_time startedAt)
+    : settings(settings)
+    , backlog(runTimes)
+    , slots(settings.workerSlots)
+    , duplicates(settings, startedAt)
+    , suspects(settings.crashLimit, settings.crashRefusal)
+    , budget(settings.retryShare)
+    , random(settings.seed)
+{
+}
+
+server_dispatcher::impl::~impl()
+{
+    deadlines.clear();
+}
+
+bool server_dispatcher::impl::isRemembered(const dispatch_request &request) noexcept
+{
+    return request.nonIdempotent && request.callerSuppliedId;
+}
+
+bool server_dispatcher::impl::isValid() const noexcept
+{
+    return now < validUntil;
+}
+
+void server_dispatcher::impl::advance()
+{
+    for (pending_request *each : leftBehind) {
+        finishWaiting(*each, each->failure);
+    }
+    leftBehind.clear();
+    while (!deadlines.empty() && deadlines.begin()->request.deadline <= now) {
+        expire(*deadlines.begin());
+    }
+    while (pending_request *request = backlog.dueRetry(now)) {
+        queueReady(*request);
+    }
+}
+
+void server_dispatcher::impl::on(valid_until_changed &&event)
+{
+    // A server that was out of reach may have been restarted.
+    if (!isValid() && event.validUntil > now) {
+        slots.becomeCold();
+    }
+    term = event.term;
+    validUntil = event.validUntil;
+}
+
+void server_dispatcher::impl::on(slots_held &&event)
+{
+    backlog.hold(event.slots);
+    awaitsIdle = true;
+    reportIdleHeldSlots();
+}
+
+void server_dispatcher::impl::on(slots_released &&event)
+{
+    backlog.release(event.slots);
+}
+
+void server_dispatcher::impl::on(crashes_reported &&event)
+{
+    suspects.merge(event.fingerprint, event.crashes, event.refusedFor, now);
+}
+
+void server_dispatcher::impl::on(dispatch_tick && /*event*/)
+{
+    duplicates.expire(wallNow);
+}
+
+void server_dispatcher::impl::reportIdleHeldSlots()
+{
+    if (!awaitsIdle) {
+        return;
+    }
+    const pending_list &running = slots.running();
+    const bool busy = std::any_of(running.begin(), running.end(), [this](const pending_request &each) {
+        return backlog.isHeld(each.request.slot);
+    });
+    if (!busy) {
+        awaitsIdle = false;
+        actions->emplace_back(held_slots_idle{});
+    }
+}
+
+void server_dispatcher::impl::on(server_answered &&event)
+{
+    pending_request *request = endAttempt(event.id);
+    if (request == nullptr) {
+        return;
+    }
+    const time_span runTime = now - request->sentAt;
+    if (!request->cancelled) {
+        const std::uint32_t requestClass = request->request.requestClass;
+        if (!runTimes.learnt(requestClass) || runTime <= warmFactor * runTimes.expected(requestClass)) {
+            slots.warmUp();
+        }
+        runTimes.learn(requestClass, runTime);
+        backlog.queue(request->isLong).settle(request->request.customer, runTime - request->cost);
+    }
+    if (suspects.size() > 0) {
+        suspects.clear(request->request.fingerprint);
+    }
+    if (isRemembered(request->request)) {
+        duplicates.settle(request->request, result_code::ok, event.answer, event.bytes);
+    }
+    finishRepeats(*request, result_code::ok, event.answer);
+    finishCaller(*request, result_code::ok, event.answer);
+    release(*request);
+    reportIdleHeldSlots();
+}
+
+void server_dispatcher::impl::on(server_refused &&event)
+{
+    pending_request *request = endAttempt(event.id);
+    if (request != nullptr) {
+        settleFailure(*request, result_code::refused_by_server, false);
+        reportIdleHeldSlots();
+    }
+}
+
+void server_dispatcher::impl::on(attempt_failed &&event)
+{
+    pending_request *request = endAttempt(event.id);
+    if (request == nullptr) {
+        return;
+    }
+    result_code code = event.code;
+    if (event.sent && outcomeClass(code) != request_outcome_class::unknown) {
+        code = result_code::server_connection_lost;
+    } else if (!event.sent && outcomeClass(code) != request_outcome_class::not_run) {
+        code = result_code::refused_by_server;
+    }
+    bool retryable = !request->callerFinished;
+    if (event.sent) {
+        request->mayHaveRun = true;
+        request->failure = code;
+        retryable = retryable && !request->request.nonIdempotent;
+        retryable = !countCrash(*request, event) && retryable;
+    }
+    if (!retryable || !retryLater(*request)) {
+        settleFailure(*request, code, event.sent);
+    }
+    reportIdleHeldSlots();
+}
+
+pending_request *server_dispatcher::impl::endAttempt(dispatch_id id)
+{
+    pending_request *request = pool.find(id);
+    if (request == nullptr || request->state != pending_state::running) {
+        return nullptr;
+    }
+    slots.vacate(*request);
+    if (request->runsAlone) {
+        request->runsAlone = false;
+        nextAlone = now + (now - drainStarted);
+    }
+    return request;
+}
+
+bool server_dispatcher::impl::countCrash(pending_request &request, const attempt_failed &event)
+{
+    // A connection that is closed after a cancellation is no sign of a crash.
+    const bool crashed = event.code == result_code::server_connection_lost || event.code == result_code::answer_truncated;
+    if (!crashed || request.cancelled) {
+        return false;
+    }
+    slots.becomeCold();
+    const std::uint32_t total = suspects.countCrash(request.request.fingerprint, now);
+    actions->emplace_back(report_crash{ request.request.fingerprint, total, settings.crashRefusal });
+    return total >= settings.crashLimit;
+}
+
+bool server_dispatcher::impl::retryLater(pending_request &request)
+{
+    const std::uint32_t doublings = std::min(request.attempts - 1, maximumBackoffDoublings);
+    const time_span::rep longest = settings.retryDelay.count() << doublings;
+    const monotonic_time retryAt = now + time_span(std::uniform_int_distribution<time_span::rep>(0, longest)(random));
+    if (retryAt >= request.request.deadline || !budget.spend()) {
+        return false;
+    }
+    request.retryAt = retryAt;
+    backlog.addRetry(request);
+    return true;
+}
+
+void server_dispatcher::impl::settleFailure(pending_request &request, result_code code, bool sent)
+{
+    const result_code outcome = request.mayHaveRun ? request.failure : code;
+    if (isRemembered(request.request)) {
+        if (sent || request.mayHaveRun) {
+            duplicates.settle(request.request, outcome, nullptr, 0);
+        } else {
+            duplicates.forget(request.request);
+        }
+    }
+    finishRepeats(request, outcome);
+    finishCaller(request, outcome);
+    release(request);
+}
+
+void server_dispatcher::impl::on(caller_gone &&event)
+{
+    pending_request *request = pool.find(event.id);
+    if (request == nullptr || request->callerFinished) {
+        return;
+    }
+    if (request->state == pending_state::running) {
+        abandonRunning(*request);
+    } else if (request->primary != nullptr) {
+        leaveRepeat(*request);
+    } else {
+        abandonWaiting(*request, result_code::deadline_expired);
+    }
+}
+
+void server_dispatcher::impl::expire(pending_request &request)
+{
+    if (request.state == pending_state::running) {
+        abandonRunning(request);
+    } else if (request.primary != nullptr) {
+        leaveRepeat(request);
+    } else {
+        abandonWaiting(request, result_code::deadline_expired);
+    }
+}
+
+void server_dispatcher::impl::abandonRunning(pending_request &request)
+{
+    finishCaller(request, result_code::deadline_while_running);
+    // The outcome of a remembered id is kept for a repeat, so the request is left to finish.
+    if (!isRemembered(request.request) && !request.cancelled) {
+        request.cancelled = true;
+        actions->emplace_back(cancel_request{ request.request.id });
+    }
+}
+
+void server_dispatcher::impl::leaveRepeat(pending_request &repeat)
+{
+    auto &siblings = repeat.primary->repeats;
+    siblings.erase(std::find(siblings.begin(), siblings.end(), &repeat));
+    backlog.remove(repeat);
+    finishCaller(repeat, result_code::repeat_unsettled);
+    release(repeat);
+}
+
+void server_dispatcher::impl::abandonWaiting(pending_request &request, result_code code)
+{
+    if (request.repeats.empty()) {
+        finishWaiting(request, code);
+        return;
+    }
+    // The id may still run for a repeat, so this caller must not conclude that it did not.
+    backlog.remove(request);
+    pending_request &successor = *request.repeats.front();
+    backlog.remove(successor);
+    successor.repeats.assign(request.repeats.begin() + 1, request.repeats.end());
+    successor.primary = nullptr;
+    for (pending_request *each : successor.repeats) {
+        each->primary = &successor;
+    }
+    request.repeats.clear();
+    duplicates.replacePrimary(successor.request);
+    finishCaller(request, result_code::repeat_unsettled);
+    release(request);
+    queueReady(successor);
+}
+
+void server_dispatcher::impl::finishWaiting(pending_request &request, result_code code)
+{
+    backlog.remove(request);
+    settleFailure(request, code, false);
+}
+
+void server_dispatcher::impl::finishCaller(pending_request &request, result_code code, const std::shared_ptr<const answer_payload> &answer)
+{
+    if (request.callerFinished) {
+        return;
+    }
+    request.callerFinished = true;
+    deadlines.erase(deadlines.iterator_to(request));
+    actions->emplace_back(finish_request{ request.request.id, code, answer });
+}
+
+void server_dispatcher::impl::finishRepeats(pending_request &request, result_code code, const std::shared_ptr<const answer_payload> &answer)
+{
+    for (pending_request *each : request.repeats) {
+        backlog.remove(*each);
+        finishCaller(*each, code, answer);
+        release(*each);
+    }
+    request.repeats.clear();
+}
+
+void server_dispatcher::impl::release(pending_request &request)
+{
+    pool.release(request);
+}
+
+void server_dispatcher::impl::queueReady(pending_request &request)
+{
+    if (suspects.size() > 0 && suspects.isSuspect(request.request.fingerprint, now)) {
+        backlog.addSuspect(request);
+    } else {
+        backlog.add(request);
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/tests/unit/dispatch/server_dispatcher_test.cpp
@@ -0,0 +1,246 @@
+#include "dispatcher_driver.h"
+
+#include "routing/hash_slots.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace sycamoretray;
+using namespace std::chrono_literals;
+
+// Guards against "not run" for an idempotent request that waits for its retry when the deadline passes.
+Test(outcome, sent_request_is_never_told_not_run)
+{
+    dispatcher_driver driver;
+    const dispatch_request first = driver.request();
+    driver.give(first);
+    driver.give(valid_until_changed{ home_term(7), driver.now });
+    driver.give(attempt_failed{ first.id, true, result_code::server_connection_lost });
+    driver.advance(11s);
+    cr_expect(driver.outcome(first.id) == result_code::server_connection_lost);
+    const dispatch_request never = driver.request();
+    driver.give(never);
+    driver.advance(11s);
+    cr_expect(driver.outcome(never.id) == result_code::deadline_expired);
+}
+
+// Guards against a retried request that is handed to another home, where it could be told "not run".
+Test(outcome, retried_request_is_not_handed_over)
+{
+    dispatcher_driver driver;
+    const dispatch_request tried = driver.request();
+    driver.give(tried);
+    driver.give(attempt_failed{ tried.id });
+    driver.give(valid_until_changed{ home_term(7), driver.now });
+    const dispatch_request queued = driver.request();
+    driver.give(queued);
+    const auto taken = driver.dispatcher.takeQueued({});
+    cr_assert(taken.size() == 1);
+    cr_expect(taken.front().id == queued.id);
+    driver.advance(1ms);
+    cr_expect(driver.outcome(tried.id) == result_code::server_connection_lost);
+    cr_expect(driver.dispatcher.queuedCount() == 0);
+}
+
+// Guards against a second run of a non-idempotent request, and against retries without limit.
+Test(retry, only_idempotent_requests_within_the_budget)
+{
+    dispatcher_driver driver({ .retryShare = 0, .crashLimit = 1000 });
+    const dispatch_request booking = driver.booking("a");
+    driver.give(booking);
+    driver.give(attempt_failed{ booking.id });
+    driver.advance(1s);
+    cr_expect(driver.timesSent(booking.id) == 1);
+    const dispatch_request idempotent = driver.request();
+    driver.give(idempotent);
+    while (!driver.outcome(idempotent.id)) {
+        driver.give(attempt_failed{ idempotent.id });
+        driver.advance(700ms);
+    }
+    cr_expect(driver.timesSent(idempotent.id) == 11);
+}
+
+// Guards against long work that occupies every worker slot, and a long class that never runs while short work waits.
+Test(queue, long_work_leaves_a_slot_to_short_work)
+{
+    dispatcher_driver driver({ .workerSlots = 3 });
+    driver.warm();
+    const auto longRequest = [&driver] {
+        dispatch_request result = driver.request();
+        result.requestClass = 1;
+        result.deadline = driver.now + 1h;
+        return result;
+    };
+    for (int i = 0; i < 4; ++i) {
+        const dispatch_request each = longRequest();
+        driver.give(each);
+        driver.answer(each.id, 500ms);
+    }
+    for (int i = 0; i < 4; ++i) {
+        driver.give(longRequest());
+    }
+    cr_expect(driver.running().size() == 2);
+    const dispatch_request quick = driver.request();
+    driver.give(quick);
+    cr_expect(driver.timesSent(quick.id) == 1);
+}
+
+// Guards against requests that wait although they cannot be served before their deadline.
+Test(admission, hopeless_request_is_refused_at_once)
+{
+    dispatcher_driver driver({ .workerSlots = 1 });
+    driver.warm();
+    for (int i = 0; i < 20; ++i) {
+        driver.give(driver.request());
+    }
+    dispatch_request hurried = driver.request();
+    hurried.deadline = driver.now + 100ms;
+    driver.give(hurried);
+    cr_expect(driver.outcome(hurried.id) == result_code::deadline_unreachable);
+    cr_expect(driver.dispatcher.expectedDelay(0) >= 190ms);
+}
+
+// Guards against a backlog that grows without bound while the server is out of reach, and one that a single customer fills.
+Test(admission, backlog_is_bounded_and_shared)
+{
+    dispatcher_driver driver({ .queuedRequests = 10, .queuedBytes = 950 });
+    driver.give(valid_until_changed{ home_term(7), driver.now });
+    std::vector<dispatch_id> flood;
+    for (int i = 0; i < 12; ++i) {
+        const dispatch_request each = driver.request();
+        flood.push_back(each.id);
+        driver.give(each);
+    }
+    cr_expect(driver.dispatcher.queuedCount() == 9);
+    cr_expect(driver.outcome(flood[9]) == result_code::queue_full);
+    dispatch_request other = driver.request();
+    other.customer = customer_id("other");
+    driver.give(other);
+    cr_expect_not(driver.outcome(other.id).has_value());
+    cr_expect(driver.outcome(flood[8]) == result_code::customer_over_share);
+}
+
+// Guards against a planned move that overtakes a request in flight, and against requests that fail during the move.
+Test(hold, slots_wait_and_are_released)
+{
+    dispatcher_driver driver;
+    driver.warm();
+    const dispatch_request before = driver.request();
+    driver.give(before);
+    driver.give(slots_held{ { slotOfKey("k") } });
+    cr_expect(driver.actionsOf<held_slots_idle>().empty());
+    const dispatch_request during = driver.request();
+    driver.give(during);
+    const dispatch_request elsewhere = driver.request("another");
+    driver.give(elsewhere);
+    cr_expect(driver.timesSent(during.id) == 0);
+    cr_expect(driver.timesSent(elsewhere.id) == 1);
+    driver.answer(before.id);
+    cr_expect(driver.actionsOf<held_slots_idle>().size() == 1);
+    driver.give(slots_released{ { slotOfKey("k") } });
+    cr_expect(driver.timesSent(during.id) == 1);
+}
+
+// Guards against a request that crashes a server again and again, and against refusing one that ran beside it.
+Test(crash, bad_request_is_refused_after_two_crashes)
+{
+    dispatcher_driver driver({ .workerSlots = 3 });
+    driver.warm();
+    const dispatch_request bad = driver.request();
+    const dispatch_request good = driver.request();
+    driver.give(bad);
+    driver.give(good);
+    cr_expect(driver.running().size() == 2);
+    driver.give(attempt_failed{ bad.id });
+    driver.give(attempt_failed{ good.id });
+    const auto run = [&](dispatch_id id) {
+        if (id == bad.id) {
+            driver.give(attempt_failed{ id });
+        } else {
+            driver.answer(id);
+        }
+    };
+    for (int i = 0; i < 100; ++i) {
+        driver.advance(20ms);
+        cr_expect(driver.running().size() <= 1);
+        if (!driver.running().empty()) {
+            run(driver.running().front());
+        }
+    }
+    cr_expect(driver.timesSent(bad.id) == 2);
+    cr_expect(driver.outcome(good.id) == result_code::ok);
+    cr_expect(driver.outcome(bad.id) == result_code::server_connection_lost);
+    dispatch_request again = driver.request();
+    again.fingerprint = bad.fingerprint;
+    driver.give(again);
+    cr_expect(driver.outcome(again.id) == result_code::crash_suspect);
+    cr_expect(driver.actionsOf<report_crash>().back().crashes == 2);
+    driver.advance(10min);
+    dispatch_request later = driver.request();
+    later.fingerprint = bad.fingerprint;
+    driver.give(later);
+    cr_expect_not(driver.outcome(later.id).has_value());
+}
+
+// Guards against a third crash at another server: crashes counted elsewhere are part of the total.
+Test(crash, counts_of_other_homes_are_included)
+{
+    dispatcher_driver driver;
+    const dispatch_request bad = driver.request();
+    driver.give(crashes_reported{ bad.fingerprint, 1, 10min });
+    driver.give(bad);
+    driver.give(attempt_failed{ bad.id });
+    cr_expect(driver.outcome(bad.id) == result_code::server_connection_lost);
+    cr_expect(driver.actionsOf<report_crash>().back().crashes == 2);
+    const dispatch_request other = driver.request();
+    driver.give(crashes_reported{ other.fingerprint, 2, 10min });
+    driver.give(other);
+    cr_expect(driver.outcome(other.id) == result_code::crash_suspect);
+}
+
+// Guards against work for callers that are gone.
+Test(cancellation, queued_and_running_requests_are_given_up)
+{
+    dispatcher_driver driver({ .workerSlots = 1 });
+    const dispatch_request running = driver.request();
+    const dispatch_request queued = driver.request();
+    driver.give(running);
+    driver.give(queued);
+    driver.give(caller_gone{ queued.id });
+    driver.give(caller_gone{ running.id });
+    cr_expect(outcomeClass(*driver.outcome(queued.id)) == request_outcome_class::not_run);
+    cr_expect(outcomeClass(*driver.outcome(running.id)) == request_outcome_class::unknown);
+    cr_expect(driver.actionsOf<cancel_request>().size() == 1);
+    driver.answer(running.id);
+    cr_expect(driver.timesSent(queued.id) == 0);
+}
+
+// Guards against a burst onto a server that has just started.
+Test(slow_start, cold_server_gets_one_request_at_first)
+{
+    dispatcher_driver driver({ .workerSlots = 3 });
+    for (int i = 0; i < 5; ++i) {
+        driver.give(driver.request());
+    }
+    cr_expect(driver.running().size() == 1);
+    driver.answer(driver.running().front());
+    cr_expect(driver.running().size() == 2);
+    driver.answer(driver.running().front());
+    cr_expect(driver.running().size() == 3);
+}
+
+// Guards against dispatch after the lease of the home may have ended.
+Test(validity, nothing_is_sent_after_the_limit)
+{
+    dispatcher_driver driver;
+    driver.give(valid_until_changed{ home_term(9), driver.now + 50ms });
+    driver.advance(50ms);
+    const dispatch_request late = driver.request();
+    driver.give(late);
+    cr_expect(driver.timesSent(late.id) == 0);
+    driver.give(valid_until_changed{ home_term(9), driver.now + 1s });
+    cr_assert(driver.timesSent(late.id) == 1);
+    cr_expect(driver.actionsOf<send_request>().back().term == home_term(9));
+    cr_expect(driver.actionsOf<send_request>().back().timeLeft == 10s);
+}
