Add the decision logic of an instance

Cause: nothing decided yet which instance is home of a server, which leases are given and where slots go.

--- /dev/null
+++ b/libs/controller/configuration_publisher.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "controller/append_queue.h"
+#include "controller/peer_monitor.h"
+
+#include <map>
+
+namespace sycamoretray
+{
+
+/** Administration requests: documents, draining of endpoints, reset of the confirmers. Thread safety: none. */
+class configuration_publisher
+{
+public:
+    configuration_publisher(controller_context &context, peer_monitor &peers, append_queue &queue);
+
+    void publish(const publish_requested &request);
+    void drain(const drain_requested &request);
+    void resetConfirmers(const confirmers_reset_requested &request);
+
+    /** A record of this instance was replayed. */
+    void ownRecordSeen(std::uint64_t sequence, log_offset offset, const apply_outcome &outcome);
+
+    /** Acknowledges what more than half of the confirmers know, and answers requests that take too long. */
+    void tick();
+
+private:
+    struct pending_request {
+        operation_id operation;
+        monotonic_time started;
+        /** Documents are acknowledged when a majority of the confirmers has them. */
+        bool needsMajority = false;
+        log_offset offset;
+        std::uint64_t version = 0;
+        /** publish_unsettled was answered; the final outcome is only logged. */
+        bool answered = false;
+    };
+
+    void enqueue(operation_id operation, pb::Record record, bool needsMajority);
+    void answer(pending_request &request, result_code code, std::uint64_t version, const std::string &message);
+
+    controller_context &m_context;
+    peer_monitor &m_peers;
+    append_queue &m_queue;
+    std::map<std::uint64_t, pending_request> m_pending;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/controller/hot_key_mover.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "controller/slot_mover.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace sycamoretray
+{
+
+/**
+ * Spreads hot keys that share a server: all but the hottest move to servers without hot keys, and return when they are cold.
+ *
+ * A single hot key stays, because moving it would move the load and not reduce it. Thread safety: none.
+ */
+class hot_key_mover
+{
+public:
+    hot_key_mover(controller_context &context, home_servers &homes, slot_mover &mover);
+
+    void handleReport(const hot_key_report &report);
+
+    /** Starts moves, except from servers in @p busy. */
+    void tick(const std::set<server_id> &busy);
+
+private:
+    struct hot_key {
+        double share = 0;
+        monotonic_time hotSince;
+        monotonic_time lastHot;
+        std::uint32_t moves = 0;
+    };
+
+    using server_keys = std::map<std::string, hot_key>;
+
+    void spread(const server_id &from, server_keys &keys);
+    void returnCold(const server_id &from, server_keys &keys);
+    server_id coolest(const server_id &from, const std::string &key) const;
+
+    controller_context &m_context;
+    home_servers &m_homes;
+    slot_mover &m_mover;
+    std::map<server_id, server_keys> m_keys;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/controller/server_lease.cpp
@@ -0,0 +1,461 @@
+#include "controller/server_lease.h"
+
+#include "records/record_builder.h"
+#include "routing/hash_slots.h"
+
+#include <algorithm>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+/** A server that was lost must answer for this long before it is up again, so that a flickering server moves no keys. */
+constexpr time_span returnDelay = std::chrono::seconds(1);
+/** A server's report that it drains or no longer drains must hold for this long. */
+constexpr time_span drainDelay = std::chrono::milliseconds(200);
+constexpr time_span undrainDelay = std::chrono::seconds(2);
+constexpr const char *drainedByServer = "server";
+
+} // namespace
+
+server_lease::server_lease(lease_services services, server_id server, home_term term)
+    : m_services(services)
+    , m_server(std::move(server))
+    , m_term(term)
+    , m_machine(services.context.state.servers().at(m_server).up)
+    , m_claimedAt(services.context.now)
+    , m_lastContact(services.context.now)
+    , m_answeringSince(services.context.now)
+{
+    refreshOwnership();
+}
+
+controller_context &server_lease::context() const noexcept
+{
+    return m_services.context;
+}
+
+const server_state &server_lease::state() const
+{
+    return context().state.servers().at(m_server);
+}
+
+const server_id &server_lease::server() const noexcept
+{
+    return m_server;
+}
+
+home_term server_lease::term() const noexcept
+{
+    return m_term;
+}
+
+lease_phase server_lease::phase() const noexcept
+{
+    return m_machine.phase();
+}
+
+time_span server_lease::silence() const noexcept
+{
+    return context().now - m_lastContact;
+}
+
+const std::bitset<hashSlotCount> &server_lease::slotsInForce() const noexcept
+{
+    return m_inForce;
+}
+
+bool server_lease::leaseMayBeInForce() const noexcept
+{
+    return context().now < m_boundUntil;
+}
+
+monotonic_time server_lease::boundUntil() const noexcept
+{
+    return m_boundUntil;
+}
+
+void server_lease::forgive(time_span gap)
+{
+    m_lastContact = std::min(context().now, m_lastContact + gap);
+}
+
+bool server_lease::ownsAnything() const
+{
+    const slot_table *table = context().state.findTable(state().service);
+    return table != nullptr && table->holdsAnything(m_server);
+}
+
+ownership_set server_lease::currentOwnership() const
+{
+    ownership_set result;
+    const slot_table *table = context().state.findTable(state().service);
+    if (table == nullptr) {
+        return result;
+    }
+    for (const hash_slot slot : table->slotsOf(m_server)) {
+        if (!m_withheldSlots.contains(slot)) {
+            result.slots.push_back(slot);
+        }
+    }
+    for (const auto &[key, exception] : table->exceptions()) {
+        if (exception.server == m_server && !m_withheldKeys.contains(key)) {
+            result.extraKeys.push_back(key);
+        } else if (exception.server != m_server && table->ownerOf(slotOfKey(key)) == m_server) {
+            result.exceptKeys.push_back(key);
+        }
+    }
+    for (const std::string &key : m_withheldKeys) {
+        if (!table->exceptions().contains(key) && table->ownerOf(slotOfKey(key)) == m_server) {
+            result.exceptKeys.push_back(key);
+        }
+    }
+    std::sort(result.exceptKeys.begin(), result.exceptKeys.end());
+    return result;
+}
+
+void server_lease::refreshOwnership()
+{
+    if (context().settings.faults.tokenFromMemory && m_ownership != nullptr && !m_ownership->slots.empty()) {
+        return;
+    }
+    ownership_set next = currentOwnership();
+    if (m_ownership != nullptr && next.slots == m_ownership->slots && next.extraKeys == m_ownership->extraKeys && next.exceptKeys == m_ownership->exceptKeys) {
+        return;
+    }
+    next.version = m_ownership == nullptr ? 1 : m_ownership->version + 1;
+    m_ownership = std::make_shared<const ownership_set>(std::move(next));
+    m_urgent = true;
+}
+
+void server_lease::withhold(const std::vector<hash_slot> &slots, const std::set<std::string> &keys)
+{
+    m_withheldSlots.insert(slots.begin(), slots.end());
+    m_withheldKeys.insert(keys.begin(), keys.end());
+    refreshOwnership();
+}
+
+void server_lease::restore()
+{
+    m_withheldSlots.clear();
+    m_withheldKeys.clear();
+    refreshOwnership();
+}
+
+bool server_lease::ownershipAcknowledged() const noexcept
+{
+    return m_acknowledged == m_ownership->version || context().settings.faults.tokenFromMemory;
+}
+
+void server_lease::stateChanged()
+{
+    const bool up = state().up;
+    if (up && phase() == lease_phase::down) {
+        m_machine.process(lease_event::marked_up);
+        m_everSafe = true;
+        m_urgent = true;
+    }
+    if (up) {
+        m_upSequence.reset();
+    } else if (phase() != lease_phase::down) {
+        m_machine.process(lease_event::marked_lost);
+        m_lossSequence.reset();
+        m_answeringSince = context().now;
+    }
+    refreshOwnership();
+}
+
+bool server_lease::mayGrant() const
+{
+    const bool granting = phase() == lease_phase::granting || phase() == lease_phase::down;
+    return granting && !m_fenced && !m_challenge.empty() && m_services.evidence.fresh() && m_services.evidence.newest() >= m_evidenceSince;
+}
+
+bool server_lease::sendDue() const
+{
+    const monotonic_time now = context().now;
+    const controller_timing &timing = context().settings.timing;
+    if (m_urgent) {
+        return mayGrant() || m_outstanding.empty();
+    }
+    return now - m_lastSent >= timing.renewInterval && m_outstanding.empty();
+}
+
+void server_lease::attachOwnership(send_lease &request)
+{
+    request.ownershipVersion = m_ownership->version;
+    if (m_acknowledged != m_ownership->version) {
+        request.ownership = m_ownership;
+    }
+    // Until the server acknowledges the new set, it may still act on any earlier one.
+    if (!leaseMayBeInForce()) {
+        m_inForce.reset();
+    }
+    for (const hash_slot slot : m_ownership->slots) {
+        m_inForce.set(slot.value());
+    }
+}
+
+void server_lease::send()
+{
+    const controller_timing &timing = context().settings.timing;
+    send_lease request;
+    request.operation = context().newOperation();
+    request.server = m_server;
+    request.address = state().endpoint.address;
+    request.term = m_term;
+    request.length = timing.leaseLength;
+    request.timeout = 2 * timing.renewInterval;
+    sent_request sent;
+    sent.sent = context().now;
+    if (mayGrant()) {
+        request.challenge = m_challenge;
+        attachOwnership(request);
+        sent.challengeSent = m_challengeSent;
+        sent.ownershipVersion = m_ownership->version;
+        const monotonic_time dated = context().settings.faults.leaseFromReplyTime ? m_challengeSent : m_challengeReceived;
+        m_boundUntil = std::max(m_boundUntil, dated + timing.leaseLength + context().driftMargin());
+    }
+    m_urgent = false;
+    m_lastSent = context().now;
+    m_outstanding.emplace(request.operation, sent);
+    context().add(std::move(request));
+}
+
+void server_lease::handleReply(const lease_reply &reply)
+{
+    const auto found = m_outstanding.find(reply.operation);
+    if (found == m_outstanding.end()) {
+        return;
+    }
+    const sent_request request = found->second;
+    m_outstanding.erase(found);
+    if (context().now - m_lastContact > context().settings.timing.serverLostAfter / 2) {
+        m_answeringSince = context().now;
+    }
+    m_lastContact = context().now;
+    m_fenced = !reply.accepted;
+    if (m_fenced || request.sent < m_challengeSent) {
+        return;
+    }
+    if (m_lossSequence && m_services.queue.cancel(*m_lossSequence)) {
+        m_lossSequence.reset();
+        m_machine.process(lease_event::loss_void);
+    }
+    noteBoot(reply);
+    const bool firstChallenge = m_challenge.empty();
+    m_challenge = reply.challenge;
+    m_challengeSent = request.sent;
+    m_challengeReceived = context().now;
+    checkContact(reply);
+    noteGrant(request, reply);
+    noteDraining(reply);
+    m_urgent = m_urgent || firstChallenge;
+}
+
+void server_lease::noteBoot(const lease_reply &reply)
+{
+    if (reply.bootId == m_bootId) {
+        return;
+    }
+    const bool restarted = !m_bootId.empty();
+    m_bootId = reply.bootId;
+    m_acknowledged = 0;
+    m_challenge.clear();
+    if (!restarted) {
+        return;
+    }
+    context().event("server_restarted", { { "server", m_server.value() }, { "boot", reply.bootId } });
+    // An earlier home may still grant to the new process unless this instance's evidence is newer than the process.
+    m_evidenceSince = context().now;
+    if (phase() == lease_phase::granting && state().endpoint.checksTokens && leaseMayBeInForce() && m_inForce.any()) {
+        m_machine.process(lease_event::boot_changed);
+        m_waitUntil = m_boundUntil;
+        setValidUntil(context().now);
+    }
+}
+
+void server_lease::checkContact(const lease_reply &reply)
+{
+    if (phase() != lease_phase::contacting) {
+        return;
+    }
+    const bool sameChain = reply.heldTerm == state().previousTerm || reply.heldTerm == m_term;
+    if (!state().endpoint.checksTokens || !ownsAnything() || sameChain || takeoverOver()) {
+        if (leaseMayBeInForce() && reply.heldTerm != m_term && state().endpoint.checksTokens && ownsAnything()) {
+            return;
+        }
+        m_machine.process(lease_event::contact_safe);
+        m_everSafe = true;
+        m_urgent = true;
+        return;
+    }
+    context().event("lease_wait", { { "server", m_server.value() }, { "held_term", std::to_string(reply.heldTerm.value()) } });
+    m_machine.process(lease_event::contact_unsafe);
+}
+
+void server_lease::noteGrant(const sent_request &request, const lease_reply &reply)
+{
+    if (!request.challengeSent) {
+        return;
+    }
+    if (reply.ownershipMissing) {
+        m_acknowledged = 0;
+        m_urgent = true;
+        return;
+    }
+    if (reply.ownershipVersion == m_ownership->version && m_acknowledged != reply.ownershipVersion) {
+        m_acknowledged = reply.ownershipVersion;
+        m_inForce.reset();
+        for (const hash_slot slot : m_ownership->slots) {
+            m_inForce.set(slot.value());
+        }
+    }
+    monotonic_time until = *request.challengeSent + context().settings.timing.leaseLength - context().driftMargin();
+    if (!state().endpoint.checksTokens) {
+        until = std::min(until, m_services.evidence.validUntil());
+    }
+    if (phase() == lease_phase::granting || phase() == lease_phase::down) {
+        setValidUntil(std::max(m_validUntil, until));
+    }
+}
+
+void server_lease::setValidUntil(monotonic_time until)
+{
+    if (until != m_validUntil) {
+        m_validUntil = until;
+        context().add(dispatch_valid_until{ m_server, m_term, until });
+    }
+}
+
+void server_lease::noteDraining(const lease_reply &reply)
+{
+    const server_state &current = state();
+    const bool mayChange = reply.draining ? !current.draining : current.draining && current.drainedBy == drainedByServer;
+    if (!mayChange) {
+        m_drainWish.reset();
+        return;
+    }
+    if (!m_drainWish) {
+        m_drainWish = context().now;
+    }
+    if (context().now - *m_drainWish >= (reply.draining ? drainDelay : undrainDelay)) {
+        m_services.queue.add(endpointDrainRecord(m_server, reply.draining, drainedByServer));
+        // Not again before the record had time to be replayed.
+        m_drainWish = context().now + undrainDelay;
+    }
+}
+
+void server_lease::handleFailure(const lease_failed &failure)
+{
+    m_outstanding.erase(failure.operation);
+}
+
+bool server_lease::needsMajority() const
+{
+    const bool undecided = phase() == lease_phase::contacting || phase() == lease_phase::waiting || !state().endpoint.checksTokens;
+    return undecided && !m_majorityAt && state().previousTerm.value() != 0;
+}
+
+void server_lease::watchTakeover()
+{
+    if (m_majorityAt || state().previousTerm.value() == 0) {
+        return;
+    }
+    const bool majority = context().state.confirmers().majority([this](const incarnation_id &confirmer) {
+        return m_services.peers.reported(confirmer).value() > m_term.value();
+    });
+    if (majority) {
+        m_majorityAt = context().now;
+    }
+}
+
+bool server_lease::takeoverOver() const
+{
+    if (context().settings.faults.takeoverWithoutWait || state().previousTerm.value() == 0) {
+        return true;
+    }
+    const controller_timing &timing = context().settings.timing;
+    const time_span margin = state().endpoint.checksTokens ? time_span(0) : timing.dispatchMargin;
+    return m_majorityAt && context().now >= *m_majorityAt + timing.evidenceAge + timing.leaseLength + 2 * context().driftMargin() + margin;
+}
+
+void server_lease::endWait()
+{
+    if (phase() != lease_phase::waiting) {
+        return;
+    }
+    const bool over = m_waitUntil ? context().now >= *m_waitUntil : takeoverOver();
+    if (over && silence() < context().settings.timing.serverLostAfter) {
+        m_waitUntil.reset();
+        m_machine.process(lease_event::wait_over);
+        m_everSafe = true;
+        m_urgent = true;
+    }
+}
+
+bool server_lease::mayMoveSlots() const
+{
+    return phase() == lease_phase::granting && !m_fenced && (state().endpoint.checksTokens || takeoverOver());
+}
+
+bool server_lease::lossAllowed() const
+{
+    const controller_timing &timing = context().settings.timing;
+    if (!state().up || m_lossSequence || silence() < timing.serverLostAfter || context().now < m_boundUntil) {
+        return false;
+    }
+    // Without another server its slots could go nowhere; the wait for its return is the same.
+    if (ownsAnything() && !context().state.hasOtherEligible(m_server) && !state().removed) {
+        return false;
+    }
+    return (m_everSafe && state().endpoint.checksTokens) || !ownsAnything() || takeoverOver();
+}
+
+void server_lease::decideLoss(const std::vector<server_id> &avoid)
+{
+    if (!lossAllowed() || !m_services.evidence.fresh()) {
+        return;
+    }
+    std::vector<server_id> others;
+    for (const server_id &other : avoid) {
+        const server_state *entry = context().state.findServer(other);
+        if (other != m_server && entry != nullptr && entry->service == state().service) {
+            others.push_back(other);
+        }
+    }
+    m_machine.process(lease_event::loss_decided);
+    setValidUntil(context().now);
+    context().event("server_silent", { { "server", m_server.value() }, { "silence_us", std::to_string(silence().count()) } });
+    m_lossSequence = m_services.queue.add(serverLostRecord(m_server, m_term, others));
+}
+
+void server_lease::markUp()
+{
+    const bool answering = !m_challenge.empty() && silence() < context().settings.timing.serverLostAfter / 2;
+    if (state().up || m_upSequence || !answering || state().removed) {
+        return;
+    }
+    if (!state().wasLost || context().now - m_answeringSince >= returnDelay) {
+        m_upSequence = m_services.queue.add(serverUpRecord(m_server, m_term));
+    }
+}
+
+void server_lease::tick(const std::vector<server_id> &avoid)
+{
+    const monotonic_time expired = context().now - 2 * context().settings.timing.renewInterval;
+    std::erase_if(m_outstanding, [expired](const auto &entry) {
+        return entry.second.sent < expired;
+    });
+    watchTakeover();
+    endWait();
+    decideLoss(avoid);
+    markUp();
+    if (sendDue()) {
+        send();
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/controller/slot_mover.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "controller/home_servers.h"
+
+#include <map>
+#include <string>
+
+namespace sycamoretray
+{
+
+/**
+ * Carries out planned moves of slots and hot keys, one at a time per losing server: hold the queue, wait until nothing is in
+ * flight, take the slots from the server, append the record, release the queue. Thread safety: none.
+ */
+class slot_mover
+{
+public:
+    slot_mover(controller_context &context, home_servers &homes, peer_monitor &peers, append_queue &queue);
+
+    bool busy(const server_id &from) const;
+
+    /** Precondition: not busy(from) and its lease may move slots. */
+    void moveSlots(const server_id &from, const server_id &to, std::vector<hash_slot> slots);
+
+    /** As moveSlots(), for one hot key. An empty @p to returns the key to the owner of its slot. */
+    void moveKey(const server_id &from, const server_id &to, const std::string &key);
+
+    void handleIdle(const dispatch_idle &idle);
+
+    /** Advances the moves; those that take too long before the record is appended are given up. */
+    void tick();
+
+    /** A record of this instance was replayed. */
+    void ownRecordSeen(std::uint64_t sequence, log_offset offset, const std::string &data, bool applied);
+
+    /** A move of @p from failed not long ago. */
+    bool backingOff(const server_id &from) const;
+
+private:
+    enum class stage {
+        holding,
+        reducing,
+        appended,
+    };
+
+    struct slot_move {
+        server_id to;
+        home_term term;
+        std::vector<hash_slot> slots;
+        /** Set for the move of one key. */
+        std::string key;
+        stage progress = stage::holding;
+        operation_id operation;
+        monotonic_time started;
+        std::uint64_t sequence = 0;
+    };
+
+    void start(const server_id &from, slot_move move);
+    void append(const server_id &from, slot_move &move);
+    void giveUp(const server_id &from, const slot_move &move);
+
+    controller_context &m_context;
+    home_servers &m_homes;
+    peer_monitor &m_peers;
+    append_queue &m_queue;
+    std::map<server_id, slot_move> m_moves;
+    std::map<server_id, monotonic_time> m_retryAt;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/controller/snapshot_writer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "controller/controller_context.h"
+
+#include <optional>
+
+namespace sycamoretray
+{
+
+/** Writes snapshots of the replayed state. Thread safety: none. */
+class snapshot_writer
+{
+public:
+    explicit snapshot_writer(controller_context &context);
+
+    /** Starts a snapshot if @p writes and one is due. @p earliest is the earliest offset that the log keeps. */
+    void tick(bool writes, log_offset earliest);
+
+    /** The state was replaced by a snapshot, which makes the next one due later. */
+    void snapshotLoaded();
+
+    /** Returns false if the result belongs to another part. */
+    bool handleResult(const append_result &result);
+
+private:
+    bool due(log_offset earliest) const;
+    void write();
+
+    controller_context &m_context;
+    std::optional<operation_id> m_operation;
+    std::optional<monotonic_time> m_lastTime;
+    log_offset m_lastPosition;
+    log_offset m_writing;
+    monotonic_time m_started;
+    monotonic_time m_notBefore;
+    std::uint64_t m_number = 0;
+};
+
+} // namespace sycamoretray
