Bound the rate of urgent probes and skip balanced tables

Cause: an urgent probe was sent with each event, and each reply is an event, so two instances probed each other without pause; and the slots of a balanced table were scanned with each event. Change: at least 20 ms between urgent probes; the plan of a service remembers which servers give slots away.

--- a/libs/controller/peer_monitor.cpp
+++ b/libs/controller/peer_monitor.cpp
@@ -12,6 +12,8 @@
 
 /** Replies to older probes give no useful evidence; 100 probes at 20 ms are 2 s. */
 constexpr std::size_t rememberedProbes = 100;
+/** Each reply is an event, so without this bound probes would be sent as fast as replies arrive. */
+constexpr time_span urgentInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -29,7 +31,7 @@
 
 void peer_monitor::probeSoon()
 {
-    m_nextProbe = m_context.now;
+    m_nextProbe = std::min(m_nextProbe, m_lastProbe + urgentInterval);
 }
 
 void peer_monitor::tick()
@@ -46,6 +48,7 @@
     if (m_context.now < m_nextProbe || !m_context.joined()) {
         return;
     }
+    m_lastProbe = m_context.now;
     m_nextProbe = m_context.now + m_context.settings.timing.probeInterval;
     m_sent.emplace_back(++m_sequence, m_context.now);
     if (m_sent.size() > rememberedProbes) {
--- a/libs/controller/peer_monitor.h
+++ b/libs/controller/peer_monitor.h
@@ -19,7 +19,7 @@
 
     void tick();
 
-    /** Sends the next probes at the next tick instead of after the interval. */
+    /** Sends the next probes 20 ms after the newest ones instead of after the interval. */
     void probeSoon();
 
     void handleProbe(const incarnation_id &from, const pb::Probe &probe);
@@ -68,6 +68,7 @@
     std::set<incarnation_id> m_listedLeaving;
     std::deque<std::pair<std::uint64_t, monotonic_time>> m_sent;
     std::uint64_t m_sequence = 0;
+    monotonic_time m_lastProbe;
     monotonic_time m_nextProbe;
 };
 
--- a/libs/controller/rebalancer.cpp
+++ b/libs/controller/rebalancer.cpp
@@ -40,6 +40,12 @@
     }
     plan.position = m_context.state.position();
     plan.target = balance(m_policy, table.owners(), servers);
+    plan.givers.clear();
+    for (std::size_t slot = 0; slot < plan.target.size(); ++slot) {
+        if (plan.target[slot] != table.owners()[slot]) {
+            plan.givers.insert(table.owners()[slot]);
+        }
+    }
     return plan;
 }
 
@@ -81,7 +87,9 @@
         }
         const service_plan &plan = planFor(lease->state().service, *table);
         const bool settled = m_context.now - plan.stableSince >= settleTime;
-        if (settled || !lease->state().eligible()) {
+        const bool eligible = lease->state().eligible();
+        const bool gives = plan.givers.contains(table->indexOf(from)) || (!eligible && table->holdsAnything(from));
+        if (gives && (settled || !eligible)) {
             startBatch(from, *table, plan.target);
         }
     }
--- a/libs/controller/rebalancer.h
+++ b/libs/controller/rebalancer.h
@@ -22,6 +22,8 @@
     struct service_plan {
         log_offset position;
         slot_owners target;
+        /** Servers that give slots away; keeps ticks cheap while the table is balanced. */
+        std::set<server_index> givers;
         std::vector<server_id> eligible;
         monotonic_time stableSince;
     };
