--- a/tests/unit/settings/daemon_settings_test.cpp
+++ b/tests/unit/settings/daemon_settings_test.cpp
@@ -69,6 +69,8 @@
     json settings = validSettings();
     settings["ownership"] = { { "lease_ms", 100 }, { "renew_interval_ms", 80 } };
     cr_expect(errorOf(settings).find("renew_interval_ms") != std::string::npos);
+    settings["ownership"] = { { "evidence_age_ms", 500 } };
+    cr_expect(errorOf(settings).find("evidence_age_ms") != std::string::npos);
     settings["ownership"] = { { "server_lost_after_ms", 300 } };
     cr_expect(errorOf(settings).find("server_lost_after_ms") != std::string::npos);
 }
