Add the measurement program for the request logic

measure_dispatch runs the dispatcher and two baselines behind the same interfaces in virtual time and prints JSON rows.

--- /dev/null
+++ b/tests/measure_dispatch/endpoint_policy.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "dispatch/home_chooser.h"
+
+namespace sycamoretray
+{
+
+/** How an entry instance chooses a home; home_chooser and the baseline are measured behind this interface. */
+class endpoint_policy
+{
+public:
+    endpoint_policy() = default;
+    endpoint_policy(const endpoint_policy &) = delete;
+    endpoint_policy &operator=(const endpoint_policy &) = delete;
+    virtual ~endpoint_policy() = default;
+    virtual std::size_t choose() = 0;
+    virtual void finished(std::size_t server) = 0;
+    virtual void reported(std::size_t server, std::uint32_t queued, std::uint32_t running) = 0;
+};
+
+/** The policy of the system: home_chooser. */
+class home_chooser_policy final : public endpoint_policy
+{
+public:
+    home_chooser_policy(std::size_t servers, std::uint32_t slots, std::uint64_t seed)
+        : m_chooser(seed)
+    {
+        std::vector<home_candidate> candidates;
+        for (std::size_t i = 0; i < servers; ++i) {
+            candidates.push_back({ server_id(std::to_string(i)), slots, true });
+        }
+        m_chooser.setCandidates(candidates);
+    }
+    std::size_t choose() override
+    {
+        return std::stoul(m_chooser.choose()->value());
+    }
+    void finished(std::size_t server) override
+    {
+        m_chooser.finished(server_id(std::to_string(server)));
+    }
+    void reported(std::size_t server, std::uint32_t queued, std::uint32_t running) override
+    {
+        m_chooser.reported(server_id(std::to_string(server)), queued, running);
+    }
+
+private:
+    home_chooser m_chooser;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/tests/measure_dispatch/least_connections_policy.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "endpoint_policy.h"
+
+#include <random>
+#include <vector>
+
+namespace sycamoretray
+{
+
+/** Baseline: the home with the fewest requests in flight from this entry instance, ties at random. */
+class least_connections_policy final : public endpoint_policy
+{
+public:
+    least_connections_policy(std::size_t servers, std::uint64_t seed);
+    std::size_t choose() override;
+    void finished(std::size_t server) override;
+    void reported(std::size_t server, std::uint32_t queued, std::uint32_t running) override;
+
+private:
+    std::vector<std::uint32_t> m_inFlight;
+    std::mt19937_64 m_random;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/tests/measure_dispatch/simulated_service.cpp
@@ -0,0 +1,229 @@
+#include "simulated_service.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr time_span crashDelay = 1ms;
+constexpr time_span restartTime = 200ms;
+constexpr time_span reportInterval = 100ms;
+constexpr time_span reportDelay = 5ms;
+constexpr time_span tickInterval = 20ms;
+constexpr time_span cancelTime = 1ms;
+const home_term onlyTerm(1);
+
+} // namespace
+
+struct simulated_service::server {
+    std::unique_ptr<dispatch_policy> policy;
+    std::vector<std::size_t> running;
+};
+
+simulated_service::simulated_service(service_options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+    m_servers.resize(m_options.servers);
+    for (server &each : m_servers) {
+        each.policy = m_options.dispatch();
+    }
+    for (std::size_t i = 0; m_options.choose && i < m_options.entries; ++i) {
+        m_entries.push_back(m_options.choose(i));
+    }
+}
+
+simulated_service::~simulated_service() = default;
+
+void simulated_service::schedule(monotonic_time at, event_kind kind, std::size_t subject, std::uint32_t value)
+{
+    m_events.push({ at, ++m_order, kind, subject, value });
+}
+
+std::vector<request_outcome> simulated_service::run(const std::vector<scripted_request> &script)
+{
+    m_script = &script;
+    m_outcomes.resize(script.size());
+    m_finished.resize(script.size());
+    m_open = script.size();
+    m_end = script.empty() ? m_now : script.back().arrival;
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+        give(i, valid_until_changed{ onlyTerm, monotonic_time::max() });
+    }
+    for (std::size_t i = 0; i < script.size(); ++i) {
+        schedule(script[i].arrival, event_kind::arrival, i);
+    }
+    schedule(m_now, event_kind::tick, 0);
+    if (!m_entries.empty()) {
+        schedule(m_now, event_kind::report, 0);
+    }
+    while (!m_events.empty() && m_open > 0) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        process(next);
+    }
+    if (m_open > 0) {
+        throw std::logic_error("a request has no outcome");
+    }
+    return m_outcomes;
+}
+
+void simulated_service::process(const event &next)
+{
+    switch (next.kind) {
+    case event_kind::arrival:
+        arrive(next.subject);
+        break;
+    case event_kind::attempt_end:
+        endAttempt(next.subject, next.value);
+        break;
+    case event_kind::crash:
+        crash(next.subject, next.value);
+        break;
+    case event_kind::restored:
+        give(next.subject, valid_until_changed{ onlyTerm, monotonic_time::max() });
+        break;
+    case event_kind::report:
+        reportLoads();
+        break;
+    case event_kind::reported: {
+        for (auto &entry : m_entries) {
+            const std::uint32_t running = std::min(next.value, m_options.slots);
+            entry->reported(next.subject, next.value - running, running);
+        }
+        break;
+    }
+    case event_kind::tick:
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            give(i, dispatch_tick{});
+        }
+        schedule(m_now + tickInterval, event_kind::tick, 0);
+        break;
+    }
+}
+
+void simulated_service::arrive(std::size_t index)
+{
+    const scripted_request &scripted = (*m_script)[index];
+    const std::size_t server = m_entries.empty() ? scripted.server : m_entries[index % m_entries.size()]->choose();
+    m_outcomes[index].server = server;
+    dispatch_request request;
+    request.id = dispatch_id(index + 1);
+    request.requestId = request_id("request");
+    request.customer = customer_id("customer-" + std::to_string(scripted.customer));
+    request.requestClass = scripted.requestClass;
+    request.deadline = m_now + scripted.patience;
+    request.fingerprint = request_fingerprint(scripted.fingerprint);
+    request.bytes = 500;
+    give(server, std::move(request));
+}
+
+void simulated_service::give(std::size_t index, dispatch_event event)
+{
+    std::vector<dispatch_action> actions;
+    const wall_time wallNow(std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch()));
+    m_servers[index].policy->handle(std::move(event), m_now, wallNow, actions);
+    for (const dispatch_action &each : actions) {
+        if (const auto *sent = std::get_if<send_request>(&each)) {
+            start(index, sent->id);
+        } else if (const auto *finished = std::get_if<finish_request>(&each)) {
+            finish(*finished);
+        } else if (const auto *cancelled = std::get_if<cancel_request>(&each)) {
+            schedule(m_now + cancelTime, event_kind::attempt_end, cancelled->id.value() - 1, m_outcomes[cancelled->id.value() - 1].sends);
+        } else if (const auto *report = std::get_if<report_crash>(&each)) {
+            for (std::size_t other = 0; other < m_servers.size(); ++other) {
+                if (other != index) {
+                    give(other, crashes_reported{ report->fingerprint, report->crashes, report->refusedFor });
+                }
+            }
+        }
+    }
+}
+
+void simulated_service::start(std::size_t index, dispatch_id id)
+{
+    const std::size_t position = id.value() - 1;
+    const scripted_request &scripted = (*m_script)[position];
+    server &target = m_servers[index];
+    target.running.push_back(position);
+    if (target.running.size() > m_options.slots) {
+        throw std::logic_error("more requests than worker slots");
+    }
+    ++m_sends;
+    const std::uint32_t attempt = ++m_outcomes[position].sends;
+    if (scripted.crashesServer) {
+        schedule(m_now + crashDelay, event_kind::crash, position, attempt);
+    } else {
+        schedule(m_now + scripted.runTime, event_kind::attempt_end, position, attempt);
+    }
+}
+
+void simulated_service::endAttempt(std::size_t index, std::uint32_t attempt)
+{
+    const std::size_t position = m_outcomes[index].server;
+    server &target = m_servers[position];
+    const auto running = std::find(target.running.begin(), target.running.end(), index);
+    if (attempt != m_outcomes[index].sends || running == target.running.end()) {
+        return;
+    }
+    target.running.erase(running);
+    const dispatch_id id(index + 1);
+    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.lostConnections) {
+        give(position, attempt_failed{ id, true, result_code::server_connection_lost });
+    } else {
+        give(position, server_answered{ id, nullptr, 500 });
+    }
+}
+
+void simulated_service::crash(std::size_t index, std::uint32_t attempt)
+{
+    const std::size_t position = m_outcomes[index].server;
+    server &target = m_servers[position];
+    if (attempt != m_outcomes[index].sends || std::find(target.running.begin(), target.running.end(), index) == target.running.end()) {
+        return;
+    }
+    ++m_crashes;
+    give(position, valid_until_changed{ onlyTerm, m_now });
+    schedule(m_now + restartTime, event_kind::restored, position);
+    for (const std::size_t lost : std::exchange(target.running, {})) {
+        give(position, attempt_failed{ dispatch_id(lost + 1), true, result_code::server_connection_lost });
+    }
+}
+
+void simulated_service::finish(const finish_request &finished)
+{
+    const std::size_t index = finished.id.value() - 1;
+    if (m_finished[index]) {
+        throw std::logic_error("a request has two outcomes");
+    }
+    m_finished[index] = true;
+    --m_open;
+    m_outcomes[index].code = finished.code;
+    m_outcomes[index].finished = m_now;
+    if (!m_entries.empty()) {
+        m_entries[index % m_entries.size()]->finished(m_outcomes[index].server);
+    }
+}
+
+void simulated_service::reportLoads()
+{
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+        auto load = static_cast<std::uint32_t>(m_servers[i].running.size()) + m_servers[i].policy->queued();
+        if (m_options.distort) {
+            load = m_options.distort(i, load, m_now);
+        }
+        schedule(m_now + reportDelay, event_kind::reported, i, load);
+    }
+    if (m_now < m_end) {
+        schedule(m_now + reportInterval, event_kind::report, 0);
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/tests/measure_dispatch/simulated_service.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "arrival_script.h"
+#include "dispatch_policy.h"
+#include "endpoint_policy.h"
+
+#include <functional>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace sycamoretray
+{
+
+struct request_outcome {
+    result_code code = result_code::ok;
+    monotonic_time finished;
+    std::size_t server = 0;
+    std::uint32_t sends = 0;
+};
+
+struct service_options {
+    std::size_t servers = 1;
+    std::size_t entries = 1;
+    std::uint32_t slots = 3;
+    std::function<std::unique_ptr<dispatch_policy>()> dispatch;
+    /** Empty for a service divided by key, whose requests name their server. */
+    std::function<std::unique_ptr<endpoint_policy>(std::size_t)> choose;
+    /** Share of attempts whose connection is lost at the end of the run. */
+    double lostConnections = 0;
+    /** Changes a load report on its way, to mislead. */
+    std::function<std::uint32_t(std::size_t server, std::uint32_t running, monotonic_time now)> distort;
+    std::uint64_t seed = 1;
+};
+
+/**
+ * Discrete-event run of one service: entry instances, one dispatch policy per server, servers as worker slots.
+ *
+ * A server that a request crashes loses all running requests 1 ms after the start of that request, and is back after 200 ms.
+ * Load reports are sent every 100 ms and arrive after 5 ms. Each request must be finished exactly once; anything else
+ * throws std::logic_error. Thread safety: none.
+ */
+class simulated_service
+{
+public:
+    explicit simulated_service(service_options options);
+    ~simulated_service();
+
+    /** Runs the script to its end and returns an outcome for each request. Call once. */
+    std::vector<request_outcome> run(const std::vector<scripted_request> &script);
+
+    std::uint64_t sends() const noexcept
+    {
+        return m_sends;
+    }
+    std::uint32_t crashes() const noexcept
+    {
+        return m_crashes;
+    }
+
+private:
+    enum class event_kind {
+        arrival,
+        attempt_end,
+        crash,
+        restored,
+        report,
+        reported,
+        tick,
+    };
+    struct event {
+        monotonic_time at;
+        std::uint64_t order = 0;
+        event_kind kind = event_kind::tick;
+        std::size_t subject = 0;
+        std::uint32_t value = 0;
+        bool operator>(const event &other) const noexcept
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+    struct server;
+
+    void schedule(monotonic_time at, event_kind kind, std::size_t subject, std::uint32_t value = 0);
+    void process(const event &next);
+    void arrive(std::size_t index);
+    void endAttempt(std::size_t index, std::uint32_t attempt);
+    void crash(std::size_t index, std::uint32_t attempt);
+    void give(std::size_t server, dispatch_event event);
+    void start(std::size_t server, dispatch_id id);
+    void finish(const finish_request &finished);
+    void reportLoads();
+
+    service_options m_options;
+    const std::vector<scripted_request> *m_script = nullptr;
+    std::vector<request_outcome> m_outcomes;
+    std::vector<bool> m_finished;
+    std::vector<server> m_servers;
+    std::vector<std::unique_ptr<endpoint_policy>> m_entries;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::mt19937_64 m_random;
+    monotonic_time m_now{};
+    monotonic_time m_end{};
+    std::uint64_t m_order = 0;
+    std::uint64_t m_sends = 0;
+    std::uint32_t m_crashes = 0;
+    std::size_t m_open = 0;
+};
+
+} // namespace sycamoretray
