Add load tool, run reconciliation and tests of the stand-ins

Cause: a whole-system test must know the fate of each request and compare it with what the servers really ran.

Change: load_tool sends seeded open-loop scripts of both workloads to all instances, compares each answer byte by byte with the expected one, repeats as a caller may, and reconciles attempts with the servers' journals: runs per id, runs without ownership, two owners of a slot or hot key at one moment, "not run" for a request that ran.

--- /dev/null
+++ b/tests/integration/cluster.py
@@ -0,0 +1,215 @@
+"""A deployment of real processes on loopback: platform stand-ins, servers and instances."""
+import json
+import os
+import pathlib
+import secrets
+import subprocess
+
+from processes import Process, free_address, get_json, http, wait_until
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+ZONES = ["zone-1", "zone-2", "zone-3"]
+
+
+class Server:
+    def __init__(self, service, name, zone, worker_slots, checks_tokens, address, advertised, journal, process):
+        self.service, self.name, self.zone = service, name, zone
+        self.worker_slots, self.checks_tokens = worker_slots, checks_tokens
+        self.address, self.advertised, self.journal, self.process = address, advertised, journal, process
+
+    @property
+    def full_name(self):
+        return f"{self.service}/{self.name}"
+
+    def definition(self):
+        return {"name": self.name, "address": self.advertised, "availability_zone": self.zone, "worker_slots": self.worker_slots,
+                "checks_tokens": self.checks_tokens}
+
+    def control(self, **change):
+        return json.loads(http("POST", self.address, "/control", change)[2])
+
+
+class Instance:
+    def __init__(self, name, zone, caller, admin, peer, callers_use, process):
+        self.name, self.zone = name, zone
+        self.caller, self.admin, self.peer, self.callers_use, self.process = caller, admin, peer, callers_use, process
+
+    def status(self):
+        return get_json(self.admin, "/v1/status", timeout=2)
+
+    def ready(self):
+        return http("GET", self.admin, "/readyz", timeout=1)[0] == 200
+
+
+class Cluster:
+    """Starts the processes and ends all of them on exit. Use as a context manager."""
+
+    def __init__(self, build, directory, proxy=False, ownership=None):
+        self.build = pathlib.Path(build)
+        self.directory = pathlib.Path(directory)
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.ownership = ownership or {}
+        self.processes, self.servers, self.instances, self.journals = [], [], [], []
+        self.proxy_address = None
+        self.log_address, self.list_address = free_address(), free_address()
+        self.secret = self.directory / "peer-secret"
+        self.secret.write_text(secrets.token_hex(32))
+        self.secret.chmod(0o600)
+        if proxy:
+            self.proxy_address = free_address()
+            self.spawn("tcp_proxy", self.tool("tcp_proxy/tcp_proxy"), f"--control={self.proxy_address}")
+            self.wait_for_http(self.proxy_address, "/links")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes:
+            process.resume()
+            process.kill()
+
+    def tool(self, path):
+        return self.build / "tests" / "standins" / path
+
+    def spawn(self, name, *command):
+        process = Process(name, command, self.directory)
+        self.processes.append(process)
+        return process
+
+    def wait_for_http(self, address, path):
+        wait_until(f"answer of {address}{path}", lambda: http("GET", address, path, timeout=1)[0] == 200, 10)
+
+    def link(self, name, target):
+        """Returns the address under which others reach target: through the fault proxy if there is one."""
+        if self.proxy_address is None:
+            return target
+        listen = free_address()
+        status, _, text = http("POST", self.proxy_address, "/links", {"name": name, "listen": listen, "target": target})
+        if status != 200:
+            raise RuntimeError(f"proxy link {name}: {text}")
+        return listen
+
+    def fault(self, link, **change):
+        status, _, text = http("POST", self.proxy_address, f"/links/{link}", change)
+        if status != 200:
+            raise RuntimeError(f"fault on link {link}: {text}")
+
+    def start_platform(self, retention_ms=0, lag_ms=200):
+        self.log = self.spawn("log_service", self.tool("log_service/log_service"), f"--listen={self.log_address}", f"--retention-ms={retention_ms}")
+        self.list = self.spawn("instance_list", self.tool("instance_list/instance_list"), f"--listen={self.list_address}", f"--lag-ms={lag_ms}")
+        self.wait_for_http(self.log_address, "/control")
+        self.wait_for_http(self.list_address, "/instances")
+
+    def log_control(self, **change):
+        return json.loads(http("POST", self.log_address, "/control", change)[2])
+
+    def add_server(self, service, name, zone, worker_slots=2, divided=True, checks_tokens=True, run_us=500, options=()):
+        address = free_address()
+        full_name = f"{service}/{name}"
+        journal = self.directory / f"{full_name.replace('/', '_')}.journal"
+        command = [self.tool("server/standin_server"), f"--listen={address}", f"--name={full_name}", f"--worker-slots={worker_slots}",
+                   f"--default-run-us={run_us}", f"--journal={journal}", *options]
+        command += [] if divided else ["--undivided"]
+        command += [] if checks_tokens else ["--ignore-tokens"]
+        process = self.spawn(full_name, *command)
+        self.wait_for_http(address, "/control")
+        server = Server(service, name, zone, worker_slots, checks_tokens, address, self.link(f"server-{name}", address), journal, process)
+        self.servers.append(server)
+        self.journals.append(journal)
+        return server
+
+    def add_instance(self, name, zone, workers=2):
+        caller, admin, peer = free_address(), free_address(), free_address()
+        settings = {"instance": name, "availability_zone": zone, "caller_address": caller, "admin_address": admin, "peer_address": peer,
+                    "log_service_address": self.link(f"log-{name}", self.log_address), "instance_list_address": self.list_address,
+                    "register_with_instance_list": True, "peer_secret_file": str(self.secret), "workers": workers, "ownership": self.ownership}
+        if self.proxy_address is not None:
+            settings["advertised_peer_address"] = self.link(f"peer-{name}", peer)
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        process = self.spawn(name, self.build / "apps" / "sycamoretrayd" / "sycamoretrayd", f"--settings={path}")
+        instance = Instance(name, zone, caller, admin, peer, self.link(f"caller-{name}", caller), process)
+        self.instances.append(instance)
+        return instance
+
+    def publish(self, kind, name, document, version=0, instance=None, timeout=10):
+        """Returns (status, parsed answer)."""
+        target = instance or self.live_instances()[0]
+        status, _, text = http("PUT", target.admin, f"/v1/documents/{kind}/{name}", document, {"If-Match": f'"{version}"'}, timeout)
+        return status, json.loads(text or "{}")
+
+    def publish_example(self, team, endpoints):
+        """Publishes examples/TEAM with other endpoints: {parameter: [definition]}."""
+        template = json.loads((ROOT / "examples" / team / "template.json").read_text())
+        parameters = json.loads((ROOT / "examples" / team / "parameters.json").read_text())
+        parameters["values"].update(endpoints)
+        for kind, name, document in (("template", template["template"], template), ("parameters", team, parameters)):
+            status, answer = self.publish(kind, name, document)
+            if status not in (200, 201):
+                raise RuntimeError(f"publishing {kind} {name}: status {status}: {answer}")
+
+    def live_instances(self):
+        return [instance for instance in self.instances if instance.process.running()]
+
+    def start_instances(self, count, workers=2):
+        started = [self.add_instance(f"i{len(self.instances) + 1}", ZONES[len(self.instances) % 3], workers) for _ in range(count)]
+        for instance in started:
+            wait_until(f"readiness of {instance.name}", instance.ready, 15)
+        return started
+
+    def wait_served(self, seconds=15):
+        """Waits until every live instance sees every running server up and no slot unserved."""
+        expected = {server.full_name for server in self.servers if server.process.running()}
+
+        def served():
+            for instance in self.live_instances():
+                status = instance.status()
+                up = {server["server"] for server in status["servers"] if server["up"]}
+                if not expected <= up or status["unserved_slots"] != 0:
+                    return False
+            return True
+
+        wait_until(f"all of {sorted(expected)} served", served, seconds)
+
+    def owner(self, service, key):
+        return get_json(self.live_instances()[0].admin, f"/v1/owner?service={service}&key={key}")
+
+    def start_load(self, name, instances=None, **options):
+        """Starts the load tool; finish_load() gives its results."""
+        addresses = [instance.callers_use for instance in (instances or self.instances)]
+        command = [self.tool("load_tool/load_tool"), *[f"--instance={address}" for address in addresses],
+                   *[f"--journal={journal}" for journal in self.journals],
+                   *[f"--{option.replace('_', '-')}={value}" for option, value in options.items()],
+                   f"--json={self.directory / name}.json", f"--html={self.directory / name}.html"]
+        return self.spawn(f"load-{name}", *command)
+
+    def finish_load(self, process, seconds):
+        """Waits for the load tool. Returns its summary, with exit_code added."""
+        try:
+            code = process.child.wait(seconds)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            raise TimeoutError(f"{process.name} did not end within {seconds} s") from None
+        path = self.directory / f"{process.name.removeprefix('load-')}.json"
+        if not os.path.exists(path):
+            raise RuntimeError(f"{process.name} wrote no results; see {process.log_path}")
+        summary = json.loads(path.read_text())
+        summary["exit_code"] = code
+        return summary
+
+
+def drum_cluster(cluster, servers=6, instances=3, run_us=500, **options):
+    """The tracking service of the drum example with its servers in three zones, no ledger."""
+    cluster.start_platform()
+    for index in range(servers):
+        cluster.add_server("vratnik.tracking", f"drum-{index + 1:02}", ZONES[index % 3], run_us=run_us, **options)
+    cluster.add_server("vratnik.credit", "ledger-01", ZONES[0], divided=False, run_us=run_us)
+    cluster.start_instances(instances)
+    publish_drums(cluster)
+    cluster.wait_served()
+
+
+def publish_drums(cluster):
+    cluster.publish_example("vratnik", {
+        "tracking_endpoints": [s.definition() for s in cluster.servers if s.service == "vratnik.tracking"],
+        "credit_endpoints": [s.definition() for s in cluster.servers if s.service == "vratnik.credit"]})
--- /dev/null
+++ b/tests/integration/integration_case.py
@@ -0,0 +1,47 @@
+"""Base of the integration tests. The environment gives the build directory, and whether to make the long runs."""
+import os
+import pathlib
+import shutil
+import tempfile
+import time
+import unittest
+
+from cluster import ROOT, Cluster
+
+BUILD = pathlib.Path(os.environ.get("SYCAMORETRAY_BUILD", ROOT / "build"))
+FULL = os.environ.get("SYCAMORETRAY_FULL") == "1"
+
+
+class IntegrationCase(unittest.TestCase):
+    """Gives each test a cluster, which ends its processes. The files of a failed test are kept and named."""
+
+    proxy = False
+    ownership = None
+
+    def setUp(self):
+        self.directory = tempfile.mkdtemp(prefix="sycamoretray-test-")
+        self.cluster = Cluster(BUILD, self.directory, proxy=self.proxy, ownership=self.ownership)
+        self.addCleanup(self.remove_files)
+        self.addCleanup(self.cluster.__exit__)
+
+    def remove_files(self):
+        outcome = self._outcome
+        failed = any(error for _, error in outcome.errors) if hasattr(outcome, "errors") else not outcome.success
+        if failed or not outcome.success:
+            print(f"files of {self.id()} are kept in {self.directory}")
+        else:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    def sleep(self, seconds):
+        time.sleep(seconds)
+
+    def assert_clean(self, summary):
+        """Every request was answered or truthfully refused, and the servers' journals agree."""
+        self.assertEqual(summary["violations"], [])
+        self.assertEqual(summary["results"]["lost"], 0, summary["results"])
+        self.assertEqual(summary["results"]["wrong_answer"], 0, summary["results"])
+        self.assertEqual(summary["exit_code"], 0)
+
+    def assert_all_answered(self, summary):
+        self.assert_clean(summary)
+        self.assertEqual(summary["results"]["answered"], summary["requests"], summary["results"])
--- /dev/null
+++ b/tests/integration/processes.py
@@ -0,0 +1,108 @@
+"""Processes of a test: each is started here and ended by its own id."""
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+
+def free_port(used=set()):
+    """Returns a port below the ephemeral range that nothing listens on and that this program has not returned before."""
+    while True:
+        port = random.randint(10000, 31999)
+        if port in used:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        used.add(port)
+        return port
+
+
+def free_address():
+    return f"127.0.0.1:{free_port()}"
+
+
+def http(method, address, path, body=None, headers=None, timeout=5.0):
+    """Returns (status, header fields, body text). An HTTP error status is returned, not raised."""
+    data = body if body is None or isinstance(body, bytes) else (body if isinstance(body, str) else json.dumps(body)).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            return reply.status, reply.headers, reply.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read().decode()
+
+
+def get_json(address, path, timeout=5.0):
+    status, _, text = http("GET", address, path, timeout=timeout)
+    if status != 200:
+        raise RuntimeError(f"GET {address}{path}: status {status}: {text[:200]}")
+    return json.loads(text)
+
+
+def wait_until(what, condition, seconds):
+    """Calls condition until it is true. Raises TimeoutError with the last exception, if there was one."""
+    end = time.monotonic() + seconds
+    last = None
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except (OSError, RuntimeError, ValueError) as error:
+            last = error
+        time.sleep(0.02)
+    raise TimeoutError(f"{what} did not happen within {seconds} s; last error: {last}")
+
+
+class Process:
+    """One child process whose output goes to a log file."""
+
+    def __init__(self, name, command, log_directory):
+        self.name = name
+        self.command = [str(part) for part in command]
+        self.log_path = os.path.join(log_directory, f"{name.replace('/', '_')}.log")
+        self.child = None
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.child = subprocess.Popen(self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    def running(self):
+        return self.child.poll() is None
+
+    def send(self, number):
+        if self.running():
+            os.kill(self.child.pid, number)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+        self.child.wait(10)
+
+    def pause(self):
+        self.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.send(signal.SIGCONT)
+
+    def terminate(self, seconds=15):
+        """Asks the process to end. Returns its exit code; kills it and raises TimeoutError if it does not end in time."""
+        self.send(signal.SIGTERM)
+        try:
+            return self.child.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise TimeoutError(f"{self.name} did not end within {seconds} s") from None
+
+    def cpu_seconds(self):
+        """User and system time used so far."""
+        with open(f"/proc/{self.child.pid}/stat", encoding="ascii") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- /dev/null
+++ b/tests/standins/load_tool/arrival_script.cpp
@@ -0,0 +1,169 @@
+#include "standins/load_tool/arrival_script.h"
+
+#include <algorithm>
+#include <random>
+#include <stdexcept>
+
+namespace sycamoretray::standins
+{
+
+namespace
+{
+
+constexpr std::uint32_t customers = 40;
+
+/** Draws the requests of one workload. */
+class script_builder
+{
+public:
+    explicit script_builder(const script_settings &settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+    {
+    }
+
+    void addDrums(double rate)
+    {
+        addArrivals(rate, false, [this](double time) {
+            return drumRequest(time);
+        });
+    }
+
+    void addTax(double rate)
+    {
+        addArrivals(rate, true, [this](double) {
+            return taxRequest();
+        });
+    }
+
+    void addSteady(double rate, bool idempotentOnly)
+    {
+        addArrivals(rate, false, [this, idempotentOnly](double) {
+            return trackingRequest(uniform(m_settings.keys), !idempotentOnly && uniform(5) == 0);
+        });
+    }
+
+    std::vector<planned_request> take()
+    {
+        std::stable_sort(m_requests.begin(), m_requests.end(), [](const planned_request &a, const planned_request &b) {
+            return a.at < b.at;
+        });
+        return std::move(m_requests);
+    }
+
+private:
+    template<class Draw>
+    void addArrivals(double rate, bool swinging, Draw draw)
+    {
+        static constexpr double swings[] = { 1.0, 0.4, 2.5, 0.7 };
+        double time = 0;
+        while (true) {
+            const double factor = swinging ? swings[static_cast<std::size_t>(time) % 4] : 1.0;
+            time += std::exponential_distribution(rate * factor)(m_random);
+            if (time >= m_settings.seconds) {
+                return;
+            }
+            planned_request request = draw(time);
+            request.at = static_cast<long long>(time * 1e6);
+            m_requests.push_back(std::move(request));
+        }
+    }
+
+    planned_request drumRequest(double time)
+    {
+        const std::uint32_t kind = uniform(100);
+        const std::uint32_t hotCustomer = time < m_settings.seconds / 2 ? 7 : 23;
+        const std::uint32_t anyKey = uniform(m_settings.keys);
+        if (kind < 85) {
+            const std::uint32_t key = uniform(2) == 0 ? anyKey / customers * customers + hotCustomer : anyKey;
+            return trackingRequest(key, kind >= 75);
+        }
+        planned_request request;
+        request.customer = customerName(uniform(customers));
+        request.nonIdempotent = kind >= 95;
+        request.requestClass = request.nonIdempotent ? "deposit" : "balance";
+        request.method = request.nonIdempotent ? "POST" : "GET";
+        request.target = "/credit/" + request.customer + number();
+        request.body = request.nonIdempotent ? "{\"credit\": " + std::to_string(uniform(100000)) + "}" : "";
+        return request;
+    }
+
+    planned_request trackingRequest(std::uint32_t key, bool pickup)
+    {
+        planned_request request;
+        request.customer = customerName(key % customers);
+        request.key = "drum-" + std::to_string(key);
+        request.requestClass = pickup ? "pickup" : "position";
+        request.method = pickup ? "POST" : "GET";
+        request.target = "/tracking/" + request.key + (pickup ? "/pickups" : "/position") + number();
+        request.body = pickup ? "{\"slot\": " + std::to_string(uniform(1000)) + "}" : "";
+        request.nonIdempotent = pickup;
+        return request;
+    }
+
+    planned_request taxRequest()
+    {
+        planned_request request;
+        const std::uint32_t kind = uniform(100);
+        request.customer = customerName(uniform(customers));
+        if (kind < 80) {
+            const bool isLong = kind < 2;
+            request.key = "fleet-" + std::to_string(uniform(m_settings.keys));
+            request.keyInHeader = true;
+            request.requestClass = isLong ? "report" : "rate";
+            request.method = "GET";
+            request.target = (isLong ? "/assessment/reports" : "/assessment/rates") + number();
+            request.runUs = isLong ? m_settings.longRunUs : -1;
+            return request;
+        }
+        request.requestClass = "declaration";
+        request.method = "POST";
+        request.target = "/lodging/declarations" + number();
+        request.body = "{\"vehicles\": " + std::to_string(uniform(500)) + "}";
+        request.nonIdempotent = true;
+        return request;
+    }
+
+    static std::string customerName(std::uint32_t index)
+    {
+        return "customer-" + std::to_string(index);
+    }
+
+    std::string number()
+    {
+        return "?n=" + std::to_string(m_settings.seed) + "-" + std::to_string(m_number++);
+    }
+
+    std::uint32_t uniform(std::uint32_t count)
+    {
+        return std::uniform_int_distribution<std::uint32_t>(0, count - 1)(m_random);
+    }
+
+    script_settings m_settings;
+    std::mt19937_64 m_random;
+    std::uint64_t m_number = 0;
+    std::vector<planned_request> m_requests;
+};
+
+} // namespace
+
+std::vector<planned_request> makeArrivalScript(const script_settings &settings)
+{
+    script_builder builder(settings);
+    const double rate = settings.requestsPerSecond;
+    if (settings.workload == "drums") {
+        builder.addDrums(rate);
+    } else if (settings.workload == "tax") {
+        builder.addTax(rate);
+    } else if (settings.workload == "both") {
+        builder.addDrums(rate / 2);
+        builder.addTax(rate / 2);
+    } else if (settings.workload == "steady" || settings.workload == "probe") {
+        builder.addSteady(rate, settings.workload == "probe");
+    } else {
+        throw std::invalid_argument("workload '" + settings.workload + "' is not drums, tax, both, steady or probe");
+    }
+    return builder.take();
+}
+
+} // namespace sycamoretray::standins
--- /dev/null
+++ b/tests/standins/load_tool/load_runner.cpp
@@ -0,0 +1,236 @@
+#include "standins/load_tool/load_runner.h"
+
+#include "routing/hash_slots.h"
+#include "standins/common/answer_content.h"
+#include "standins/common/standin_program.h"
+#include "standins/load_tool/request_identifier.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+
+namespace sycamoretray::standins
+{
+
+namespace
+{
+
+// Codes that a repetition does not change: malformed requests and crash suspects.
+bool isFinal(int code)
+{
+    return (code >= 100 && code < 110) || code == 116;
+}
+
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+int resultCodeOf(const http_response &response)
+{
+    const auto content = nlohmann::json::parse(response.body, nullptr, false);
+    return content.is_object() && content.contains("code") && content["code"].is_number() ? content["code"].get<int>() : 0;
+}
+
+} // namespace
+
+struct load_runner::instance_pool {
+    std::vector<std::unique_ptr<http_connection>> connections;
+    std::vector<std::size_t> idle;
+    std::deque<std::size_t> waiting;
+};
+
+load_runner::load_runner(boost::asio::io_context &context, runner_settings settings, std::vector<planned_request> script)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_script(std::move(script))
+    , m_fates(m_script.size())
+    , m_ids(m_script.size())
+    , m_random(m_settings.seed)
+{
+    for (const std::string &address : m_settings.instances) {
+        auto pool = std::make_unique<instance_pool>();
+        for (std::uint32_t i = 0; i < m_settings.connectionsPerInstance; ++i) {
+            pool->connections.push_back(std::make_unique<http_connection>(context, address));
+            pool->idle.push_back(i);
+        }
+        m_pools.push_back(std::move(pool));
+    }
+}
+
+load_runner::~load_runner() = default;
+
+void load_runner::start()
+{
+    m_startedAt = steadyMicroseconds();
+    scheduleNext();
+}
+
+const std::vector<request_fate> &load_runner::fates() const
+{
+    return m_fates;
+}
+
+void load_runner::scheduleNext()
+{
+    const long long now = steadyMicroseconds() - m_startedAt;
+    while (m_next < m_script.size() && m_script[m_next].at <= now) {
+        const std::size_t index = m_next++;
+        m_fates[index].due = m_startedAt + m_script[index].at;
+        if (m_script[index].nonIdempotent || m_settings.direct) {
+            m_ids[index] = newRequestIdentifier(wallMilliseconds(), m_random);
+        }
+        attempt(index);
+    }
+    if (m_next == m_script.size()) {
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
+    timer->expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(m_startedAt + m_script[m_next].at)));
+    timer->async_wait([this, timer](const boost::system::error_code &) {
+        scheduleNext();
+    });
+}
+
+void load_runner::attempt(std::size_t index)
+{
+    const std::size_t instance = drawInstance(index);
+    instance_pool &pool = *m_pools[instance];
+    request_attempt attempt;
+    attempt.requestId = m_ids[index];
+    attempt.instance = instance;
+    attempt.begin = steadyMicroseconds();
+    m_fates[index].attempts.push_back(std::move(attempt));
+    if (pool.idle.empty()) {
+        pool.waiting.push_back(index);
+        return;
+    }
+    const std::size_t connection = pool.idle.back();
+    pool.idle.pop_back();
+    sendOn(index, instance, connection);
+}
+
+// A repetition goes to another instance than the last attempt.
+std::size_t load_runner::drawInstance(std::size_t index)
+{
+    const std::size_t count = m_pools.size();
+    if (m_fates[index].attempts.empty() || count == 1) {
+        return m_random() % count;
+    }
+    return (m_fates[index].last().instance + 1 + m_random() % (count - 1)) % count;
+}
+
+void load_runner::sendOn(std::size_t index, std::size_t instance, std::size_t connection)
+{
+    const auto timeout = std::chrono::milliseconds(std::min(m_settings.attemptTimeoutMs, m_settings.deadlineMs));
+    m_pools[instance]->connections[connection]->send(
+        messageFor(index), timeout, [this, index, instance, connection](exchange_result result, const http_response &response) {
+            finished(index, result, response);
+            connectionFree(instance, connection);
+        });
+}
+
+void load_runner::connectionFree(std::size_t instance, std::size_t connection)
+{
+    instance_pool &pool = *m_pools[instance];
+    if (pool.waiting.empty()) {
+        pool.idle.push_back(connection);
+        return;
+    }
+    const std::size_t index = pool.waiting.front();
+    pool.waiting.pop_front();
+    sendOn(index, instance, connection);
+}
+
+http_request load_runner::messageFor(std::size_t index) const
+{
+    const planned_request &planned = m_script[index];
+    http_request message;
+    message.method = planned.method;
+    message.target = planned.target;
+    message.body = planned.body;
+    message.fields.emplace_back("Customer", planned.customer);
+    if (planned.keyInHeader) {
+        message.fields.emplace_back("Fleet-Key", planned.key);
+    }
+    if (planned.runUs >= 0) {
+        message.fields.emplace_back("Test-Run-Us", std::to_string(planned.runUs));
+    }
+    if (m_settings.direct) {
+        message.fields.emplace_back("Sycamoretray-Request-Id", m_ids[index]);
+        message.fields.emplace_back("Sycamoretray-Key", planned.key);
+        message.fields.emplace_back("Sycamoretray-Hash-Slot", std::to_string(slotOfKey(planned.key).value()));
+        return message;
+    }
+    if (!m_ids[index].empty()) {
+        message.fields.emplace_back("Idempotency-Key", m_ids[index]);
+    }
+    const long long left = m_settings.deadlineMs - (steadyMicroseconds() - m_fates[index].due) / 1000;
+    message.fields.emplace_back("Sycamoretray-Deadline-Ms", std::to_string(std::max(1LL, left)));
+    return message;
+}
+
+void load_runner::finished(std::size_t index, exchange_result result, const http_response &response)
+{
+    request_fate &fate = m_fates[index];
+    request_attempt &attempt = fate.attempts.back();
+    attempt.end = steadyMicroseconds();
+    if (result == exchange_result::complete) {
+        judge(index, attempt, response);
+    } else {
+        attempt.outcome = result == exchange_result::refused ? attempt_outcome::refused : attempt_outcome::lost;
+    }
+    if (!mayRepeat(index)) {
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(m_settings.retryPauseMs));
+    timer->async_wait([this, timer, index](const boost::system::error_code &) {
+        this->attempt(index);
+    });
+}
+
+void load_runner::judge(std::size_t index, request_attempt &attempt, const http_response &response) const
+{
+    const std::string_view outcome = findField(response.fields, "Sycamoretray-Outcome");
+    const std::string id(findField(response.fields, "Sycamoretray-Request-Id"));
+    const planned_request &planned = m_script[index];
+    const bool rightId = m_ids[index].empty() ? !id.empty() : id == m_ids[index];
+    if (outcome == "answered" || (m_settings.direct && response.status == 200)) {
+        attempt.requestId = id;
+        const bool right = rightId && response.status == 200 && response.body == answerContent(id, planned.key, planned.target, planned.body);
+        attempt.outcome = right ? attempt_outcome::answered : attempt_outcome::wrong_answer;
+        return;
+    }
+    attempt.code = resultCodeOf(response);
+    if (m_ids[index].empty()) {
+        attempt.requestId = id;
+    }
+    attempt.outcome = outcome == "not-run" ? attempt_outcome::not_run : (outcome == "unknown" ? attempt_outcome::unknown : attempt_outcome::wrong_answer);
+}
+
+bool load_runner::mayRepeat(std::size_t index) const
+{
+    const request_fate &fate = m_fates[index];
+    const request_attempt &last = fate.last();
+    if (last.end - fate.due >= m_settings.deadlineMs * 1000) {
+        return false;
+    }
+    switch (last.outcome) {
+    case attempt_outcome::answered:
+    case attempt_outcome::wrong_answer:
+        return false;
+    case attempt_outcome::not_run:
+        return !isFinal(last.code);
+    case attempt_outcome::unknown:
+        return !m_script[index].nonIdempotent;
+    case attempt_outcome::refused:
+    case attempt_outcome::lost:
+        return true;
+    }
+    return false;
+}
+
+} // namespace sycamoretray::standins
--- a/tests/standins/server/server.cpp
+++ b/tests/standins/server/server.cpp
@@ -62,8 +62,9 @@
 void server::lease(const http_request &request, const respond_function &respond)
 {
     try {
+        const std::uint64_t termBefore = m_lease.term();
         lease_holder::reply reply = m_lease.handle(json::parse(request.body), steadyMicroseconds());
-        recordLease(reply);
+        recordLease(reply, termBefore != m_lease.term());
         if (reply.status == 200) {
             reply.content["running"] = m_running;
             reply.content["draining"] = m_draining;
@@ -75,9 +76,9 @@
     }
 }
 
-void server::recordLease(const lease_holder::reply &reply)
+void server::recordLease(const lease_holder::reply &reply, bool termChanged)
 {
-    if (reply.ownershipChanged) {
+    if (reply.ownershipChanged || termChanged) {
         m_journal.append({ { "event", "ownership" },
                            { "server", m_settings.name },
                            { "boot", m_lease.bootId() },
@@ -85,7 +86,7 @@
                            { "at", steadyMicroseconds() },
                            { "ownership", m_lease.ownership().toJson() } });
     }
-    if (reply.leaseExtended || reply.ownershipChanged) {
+    if (reply.leaseExtended || reply.ownershipChanged || termChanged) {
         m_journal.append({ { "event", "lease" },
                            { "server", m_settings.name },
                            { "boot", m_lease.bootId() },
@@ -117,7 +118,10 @@
     const json change = json::parse(request.body, nullptr, false);
     if (request.method == "POST" && change.is_object()) {
         LOG(INFO) << "event=control change=" << change.dump();
-        m_draining = change.value("draining", m_draining);
+        if (change.contains("draining")) {
+            m_draining = change["draining"].get<bool>();
+            m_journal.append({ { "event", "draining" }, { "server", m_settings.name }, { "on", m_draining }, { "at", steadyMicroseconds() } });
+        }
         m_shed = change.value("shed", m_shed);
         if (change.contains("load_report")) {
             m_reportedLoad = change["load_report"];
--- a/tests/standins/server/server.h
+++ b/tests/standins/server/server.h
@@ -63,7 +63,7 @@
     };
 
     void lease(const http_request &request, const respond_function &respond);
-    void recordLease(const lease_holder::reply &reply);
+    void recordLease(const lease_holder::reply &reply, bool termChanged);
     void cancel(const http_request &request, const respond_function &respond);
     void control(const http_request &request, const respond_function &respond);
     void freeze(long long milliseconds);
