Test the lease rules of the stand-in server over HTTP, and list two owners first

Change: the reconciliation reports two owners first. New tests act as a home against the real server process: runs outside of the lease are refused or abandoned, and two owners of one slot are found in the journals.

--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -75,6 +75,10 @@
         with open(self.log_path, "ab") as log:
             self.child = subprocess.Popen(self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
 
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as log:
+            return log.read()
+
     def running(self):
         return self.child.poll() is None
 
--- a/tests/integration/standins_test.py
+++ b/tests/integration/standins_test.py
@@ -4,7 +4,7 @@
 import unittest
 
 from integration_case import IntegrationCase
-from processes import free_address, get_json, http, wait_until
+from processes import get_json, http, wait_until
 
 
 def encoded(text):
@@ -59,6 +59,43 @@
         wait_until("visibility", lambda: get_json(self.cluster.list_address, "/instances") == {"instances": [instance]}, 3)
 
 
+class ServerLeaseTest(IntegrationCase):
+    def lease(self, server, term, challenge="", slots=((0, 16383),)):
+        request = {"home_term": term, "challenge": challenge, "lease_ms": 400, "ownership_version": 1, "ownership": {"version": 1, "slots": slots}}
+        return json.loads(http("POST", server.address, "/sycamoretray/v1/lease", request)[2])
+
+    def send(self, server, term, identifier, run_us=0):
+        headers = {"Sycamoretray-Request-Id": identifier, "Sycamoretray-Home-Term": str(term), "Sycamoretray-Hash-Slot": "5", "Sycamoretray-Key": "k",
+                   "Test-Run-Us": str(run_us)}
+        status, fields, _ = http("GET", server.address, "/x", headers=headers)
+        return status, fields["Sycamoretray-Outcome"]
+
+    def test_lease_bounds_runs(self):
+        """Guards against a stand-in that runs requests outside of its lease, and so hides faults of the home."""
+        server = self.cluster.add_server("t", "leased", "zone-1")
+        self.assertEqual(self.send(server, 7, "r1"), (421, "not-run"))
+        self.lease(server, 7, self.lease(server, 7)["challenge"])
+        self.assertEqual(self.send(server, 7, "r2"), (200, None))
+        self.assertEqual(self.send(server, 6, "r3"), (421, "not-run"))
+        self.assertEqual(self.send(server, 7, "r4", run_us=800000), (421, "not-run"), "the lease lapses during the run")
+        events = [json.loads(line) for line in server.journal.read_text().splitlines()]
+        self.assertEqual([event["id"] for event in events if event["event"] == "commit"], ["r2"])
+        self.assertEqual([event["id"] for event in events if event["event"] == "abandon"], ["r4"])
+
+    def test_two_owners_are_found(self):
+        """Guards against a reconciliation that finds nothing whatever the journals hold."""
+        servers = [self.cluster.add_server("t", name, "zone-1", checks_tokens=False) for name in ("left", "right")]
+        for server, slots in zip(servers, (((0, 8000),), ((8000, 16383),))):
+            self.lease(server, 7, self.lease(server, 7, slots=slots)["challenge"], slots)
+        process = self.cluster.spawn("load-two", self.cluster.tool("load_tool/load_tool"), *[f"--instance={server.address}" for server in servers], "--direct",
+                                     "--workload=steady", "--rate=100", "--seconds=1", *[f"--journal={server.journal}" for server in servers],
+                                     f"--json={self.cluster.directory / 'two.json'}")
+        summary = self.cluster.finish_load(process, 20)
+        self.assertEqual(summary["exit_code"], 1)
+        self.assertEqual(sum("two owners of slot 8000" in line for line in summary["violations"]), 1, summary["violations"][:3])
+        self.assertTrue(any("without ownership" in line for line in summary["violations"]))
+
+
 class LoadToolTest(IntegrationCase):
     proxy = True
 
--- a/tests/standins/load_tool/run_reconciler.cpp
+++ b/tests/standins/load_tool/run_reconciler.cpp
@@ -121,12 +121,13 @@
 std::vector<std::string> reconcile(const std::vector<planned_request> &script, const std::vector<request_fate> &fates, const journal_content &journals)
 {
     std::vector<std::string> violations;
+    // Two owners come first, because only the first violations are listed and the others may follow from them.
+    checkExclusive(journals.spans, violations);
     for (std::size_t i = 0; i < script.size(); ++i) {
         checkFate(script[i], fates[i], journals, violations);
     }
     checkOwned("start", journals.starts, violations);
     checkOwned("commit", journals.commits, violations);
-    checkExclusive(journals.spans, violations);
     if (journals.startsAfterDrain > 0) {
         violations.push_back(std::to_string(journals.startsAfterDrain) + " requests started more than 2 s after their server began to drain");
     }
