Add HTTP, log, server and peer transport libraries

The daemon needs I/O that keeps Asio, Beast, nng and OpenSSL out of public headers.

Adds executor (strands), http_message (parser and writer on Beast), http_client (connection pool), log_client, server_client, peer_transport (nng push/pull, HMAC-SHA256 batches), http_entry (server with pipelining) and observability (glog, Boost.Accumulators).

--- /dev/null
+++ b/libs/executor/steady_time.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/monotonic_time.h"
+
+namespace sycamoretray
+{
+
+/** Returns the time of the steady clock. Thread-safe. */
+monotonic_time steadyNow() noexcept;
+
+/** Returns the wall-clock time. Thread-safe. */
+wall_time wallNow() noexcept;
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/http_client/http_connection_pool.cpp
@@ -0,0 +1,306 @@
+#include "http_client/http_connection_pool.h"
+
+#include "executor/detail/serial_executor_state.h"
+#include "executor/steady_time.h"
+#include "http_client/detail/client_connection.h"
+#include "http_client/detail/endpoint_address.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+namespace sycamoretray
+{
+
+using detail::client_connection;
+using detail::pending_exchange;
+
+namespace
+{
+
+// Leases time out after a few hundred milliseconds, so the sweep that finds them must be much finer.
+constexpr std::chrono::milliseconds sweepInterval(10);
+// A server that refuses or closes connections is not asked more often than this for spare ones.
+constexpr std::chrono::milliseconds spareRetryInterval(100);
+
+} // namespace
+
+struct http_connection_pool::impl : client_connection::observer, std::enable_shared_from_this<impl> {
+    impl(serial_executor givenExecutor, const network_address &address, connection_pool_settings givenSettings)
+        : executor(std::move(givenExecutor))
+        , settings(givenSettings)
+        , sweepTimer(executor.state().strand)
+    {
+        addressValid = detail::parseAddress(address, endpoint);
+    }
+
+    serial_executor executor;
+    connection_pool_settings settings;
+    boost::asio::ip::tcp::endpoint endpoint;
+    bool addressValid = false;
+    bool closed = false;
+    bool sweeping = false;
+    std::uint64_t lastId = 0;
+    monotonic_time spareRetryAt;
+    boost::asio::steady_timer sweepTimer;
+    std::vector<std::shared_ptr<client_connection>> connections;
+    /** The most recently used connection is at the back and is taken first. */
+    std::vector<client_connection *> idle;
+    std::deque<pending_exchange> waiting;
+
+    std::size_t connectingCount() const
+    {
+        return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(), [](const auto &connection) {
+            return !connection->isConnected();
+        }));
+    }
+
+    void openOne()
+    {
+        auto connection = std::make_shared<client_connection>(executor.state().strand, *this, settings.limits);
+        connection->deadline = steadyNow() + settings.connectTimeout;
+        connections.push_back(connection);
+        connection->connect(endpoint);
+        armSweep();
+    }
+
+    void openMissing()
+    {
+        if (closed || !addressValid) {
+            return;
+        }
+        const std::size_t connecting = connectingCount();
+        std::size_t wanted = waiting.size();
+        if (steadyNow() >= spareRetryAt) {
+            wanted += settings.spareConnections;
+        }
+        const std::size_t available = idle.size() + connecting;
+        std::size_t missing = wanted > available ? wanted - available : 0;
+        missing = std::min(missing, settings.maxConnections - std::min<std::size_t>(connections.size(), settings.maxConnections));
+        for (std::size_t i = 0; i < missing; ++i) {
+            openOne();
+        }
+    }
+
+    void serveWaiting()
+    {
+        while (!waiting.empty() && !idle.empty()) {
+            client_connection *connection = idle.back();
+            idle.pop_back();
+            pending_exchange exchange = std::move(waiting.front());
+            waiting.pop_front();
+            connection->start(std::move(exchange));
+        }
+        openMissing();
+    }
+
+    void remove(client_connection &connection)
+    {
+        std::erase(idle, &connection);
+        std::erase_if(connections, [&](const auto &candidate) {
+            return candidate.get() == &connection;
+        });
+    }
+
+    static void failUnsent(const pending_exchange &exchange, result_code code)
+    {
+        http_exchange_result result;
+        result.code = code;
+        result.sent = false;
+        exchange.done(std::move(result));
+    }
+
+    void connected(client_connection &connection) override
+    {
+        connection.deadline = steadyNow() + settings.idleTimeout;
+        idle.push_back(&connection);
+        serveWaiting();
+    }
+
+    void connectFailed(client_connection &connection) override
+    {
+        const auto self = shared_from_this();
+        remove(connection);
+        spareRetryAt = steadyNow() + spareRetryInterval;
+        // One failed connection ends one request; the others may still get the connections that are being opened.
+        if (!waiting.empty() && idle.empty()) {
+            const pending_exchange exchange = std::move(waiting.front());
+            waiting.pop_front();
+            failUnsent(exchange, result_code::peer_unreachable);
+        }
+        if (!closed) {
+            serveWaiting();
+        }
+    }
+
+    void finished(client_connection &connection, pending_exchange exchange, http_exchange_result result, bool reusable) override
+    {
+        const auto self = shared_from_this();
+        if (reusable) {
+            connection.deadline = steadyNow() + settings.idleTimeout;
+            idle.push_back(&connection);
+        } else {
+            remove(connection);
+        }
+        serveWaiting();
+        exchange.done(std::move(result));
+    }
+
+    void closedIdle(client_connection &connection) override
+    {
+        const auto self = shared_from_this();
+        remove(connection);
+        spareRetryAt = steadyNow() + spareRetryInterval;
+        openMissing();
+    }
+
+    void armSweep()
+    {
+        if (sweeping || closed) {
+            return;
+        }
+        sweeping = true;
+        sweepTimer.expires_after(sweepInterval);
+        sweepTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self && !self->closed) {
+                self->sweeping = false;
+                self->sweep();
+            }
+        });
+    }
+
+    void sweep()
+    {
+        const monotonic_time now = steadyNow();
+        const auto snapshot = connections;
+        for (const auto &connection : snapshot) {
+            sweepConnection(*connection, now);
+            if (closed) {
+                return;
+            }
+        }
+        expireWaiting(now);
+        if (closed) {
+            return;
+        }
+        openMissing();
+        if (!connections.empty() || !waiting.empty() || settings.spareConnections > 0) {
+            armSweep();
+        }
+    }
+
+    void expireWaiting(monotonic_time now)
+    {
+        const auto firstExpired = std::stable_partition(waiting.begin(), waiting.end(), [&](const pending_exchange &exchange) {
+            return exchange.deadline > now;
+        });
+        const std::vector<pending_exchange> expired(std::make_move_iterator(firstExpired), std::make_move_iterator(waiting.end()));
+        waiting.erase(firstExpired, waiting.end());
+        for (const pending_exchange &exchange : expired) {
+            if (!closed) {
+                failUnsent(exchange, result_code::deadline_while_running);
+            }
+        }
+    }
+
+    void sweepConnection(client_connection &connection, monotonic_time now)
+    {
+        if (connection.isBusy()) {
+            if (connection.exchange().deadline <= now) {
+                connection.fail(result_code::deadline_while_running);
+            }
+        } else if (!connection.isConnected()) {
+            if (connection.deadline <= now && std::any_of(connections.begin(), connections.end(), [&](const auto &candidate) {
+                    return candidate.get() == &connection;
+                })) {
+                connection.close();
+                connectFailed(connection);
+            }
+        } else if (connection.deadline <= now && idle.size() > settings.spareConnections) {
+            connection.close();
+            remove(connection);
+        }
+    }
+
+    void shutDown()
+    {
+        closed = true;
+        sweepTimer.cancel();
+        for (const auto &connection : connections) {
+            connection->close();
+        }
+        connections.clear();
+        idle.clear();
+        waiting.clear();
+    }
+};
+
+http_connection_pool::http_connection_pool(serial_executor executor, const network_address &address, connection_pool_settings settings)
+    : d(std::make_shared<impl>(std::move(executor), address, settings))
+{
+}
+
+http_connection_pool::~http_connection_pool()
+{
+    d->shutDown();
+}
+
+void http_connection_pool::open()
+{
+    d->openMissing();
+    d->armSweep();
+}
+
+std::uint64_t http_connection_pool::exchange(std::string wire, bool headRequest, time_span timeout, callback done)
+{
+    const std::uint64_t id = ++d->lastId;
+    if (!d->addressValid) {
+        boost::asio::post(d->executor.state().strand, [weak = d->weak_from_this(), done = std::move(done)] {
+            const auto self = weak.lock();
+            if (self && !self->closed) {
+                pending_exchange unsent;
+                unsent.done = done;
+                impl::failUnsent(unsent, result_code::peer_unreachable);
+            }
+        });
+        return id;
+    }
+    pending_exchange exchange{ id, std::move(wire), headRequest, steadyNow() + timeout, std::move(done) };
+    if (d->waiting.empty() && !d->idle.empty()) {
+        client_connection *connection = d->idle.back();
+        d->idle.pop_back();
+        connection->start(std::move(exchange));
+    } else {
+        d->waiting.push_back(std::move(exchange));
+    }
+    d->openMissing();
+    d->armSweep();
+    return id;
+}
+
+void http_connection_pool::abort(std::uint64_t exchange)
+{
+    std::erase_if(d->waiting, [&](const pending_exchange &candidate) {
+        return candidate.id == exchange;
+    });
+    for (const auto &connection : d->connections) {
+        if (connection->isBusy() && connection->exchange().id == exchange) {
+            const auto kept = connection;
+            kept->close();
+            d->remove(*kept);
+            d->serveWaiting();
+            return;
+        }
+    }
+}
+
+std::uint32_t http_connection_pool::openConnections() const noexcept
+{
+    return static_cast<std::uint32_t>(d->connections.size());
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/http_entry/detail/http_session.cpp
@@ -0,0 +1,291 @@
+#include "http_entry/detail/http_session.h"
+
+#include "executor/steady_time.h"
+#include "http_entry/error_answer.h"
+#include "http_message/http_writer.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace sycamoretray::detail
+{
+
+namespace
+{
+
+// Bytes that a caller may send ahead of the answers to its pipelined requests.
+constexpr std::size_t unparsedLimit = 64ULL * 1024;
+// Time for a caller to read the last answer before its connection is closed.
+constexpr time_span lingerTime = std::chrono::seconds(1);
+
+} // namespace
+
+http_session::http_session(socket_type socket, std::shared_ptr<session_environment> environment)
+    : m_strand(socket.get_executor())
+    , m_socket(std::move(socket))
+    , m_environment(std::move(environment))
+    , m_parser(m_environment->settings.limits)
+{
+    m_environment->connections.fetch_add(1, std::memory_order_relaxed);
+}
+
+http_session::~http_session()
+{
+    m_environment->connections.fetch_sub(1, std::memory_order_relaxed);
+}
+
+void http_session::start()
+{
+    boost::asio::dispatch(m_strand, [self = shared_from_this()] {
+        boost::system::error_code ignored;
+        self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        self->updateDeadline();
+        self->readMore();
+    });
+}
+
+void http_session::readMore()
+{
+    if (m_readActive || isClosed() || m_unparsed.size() >= unparsedLimit) {
+        return;
+    }
+    m_readActive = true;
+    m_socket.async_read_some(boost::asio::buffer(m_input), [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+        self->m_readActive = false;
+        if (error) {
+            self->closeOnStrand();
+            return;
+        }
+        self->received(size);
+    });
+}
+
+void http_session::received(std::size_t size)
+{
+    if (isClosed()) {
+        return;
+    }
+    if (!m_lingering) {
+        m_unparsed.append(m_input.data(), size);
+        parseReceived();
+        updateDeadline();
+    }
+    readMore();
+}
+
+void http_session::parseReceived()
+{
+    std::size_t position = 0;
+    while (position < m_unparsed.size() && !m_noMoreRequests && m_pending.size() < m_environment->settings.pipelinedRequests) {
+        if (m_requestDeadline == noDeadline) {
+            m_requestDeadline = steadyNow() + m_environment->settings.transferTimeout;
+        }
+        const std::size_t used = m_parser.feed(std::string_view(m_unparsed).substr(position));
+        position += used;
+        if (m_parser.state() == http_parse_state::failed) {
+            refuse(m_parser.error());
+            break;
+        }
+        if (m_parser.state() == http_parse_state::complete) {
+            requestComplete();
+            continue;
+        }
+        if (used == 0) {
+            break;
+        }
+    }
+    m_unparsed.erase(0, position);
+    if (!m_noMoreRequests && m_parser.headerComplete() && m_parser.expectsContinue() && !m_continueSent) {
+        sendContinue();
+    }
+}
+
+void http_session::requestComplete()
+{
+    http_request request = m_parser.take();
+    m_requestDeadline = noDeadline;
+    m_continueSent = false;
+    const bool keepAlive = request.keepAlive;
+    const std::uint64_t sequence = m_firstSequence + m_pending.size();
+    m_pending.emplace_back();
+    m_noMoreRequests = !keepAlive;
+    auto slot = std::make_shared<answer_slot>(shared_from_this(), sequence, request.method == "HEAD", keepAlive);
+    m_environment->handler(std::move(request), std::move(slot));
+}
+
+void http_session::refuse(result_code code)
+{
+    m_noMoreRequests = true;
+    m_requestDeadline = noDeadline;
+    const std::uint64_t sequence = m_firstSequence + m_pending.size();
+    m_pending.emplace_back();
+    std::string wire;
+    appendResponse(wire, errorAnswer(code, request_id()), {}, false, false);
+    deliverOnStrand(sequence, std::move(wire), false);
+}
+
+void http_session::sendContinue()
+{
+    // An interim response belongs to the request whose answer comes next, so it waits for nothing and is sent only then.
+    if (!m_pending.empty()) {
+        return;
+    }
+    m_continueSent = true;
+    m_output += "HTTP/1.1 100 Continue\r\n\r\n";
+    writeMore();
+}
+
+void http_session::deliver(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive)
+{
+    boost::asio::dispatch(m_strand, [self = shared_from_this(), sequence, wire = std::move(wire), keepAlive]() mutable {
+        self->deliverOnStrand(sequence, std::move(wire), keepAlive);
+    });
+}
+
+void http_session::deliverOnStrand(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive)
+{
+    if (isClosed() || sequence < m_firstSequence || sequence - m_firstSequence >= m_pending.size()) {
+        return;
+    }
+    pending_answer &pending = m_pending[sequence - m_firstSequence];
+    if (pending.ready) {
+        return;
+    }
+    pending.wire = std::move(wire);
+    pending.keepAlive = keepAlive;
+    pending.ready = true;
+    pending.callerGone = nullptr;
+    collectReady();
+}
+
+void http_session::collectReady()
+{
+    while (!m_pending.empty() && m_pending.front().ready && !m_closeAfterWrite) {
+        pending_answer &front = m_pending.front();
+        if (!front.wire) {
+            closeOnStrand();
+            return;
+        }
+        if (m_output.empty()) {
+            m_output = std::move(*front.wire);
+        } else {
+            m_output += *front.wire;
+        }
+        m_closeAfterWrite = !front.keepAlive;
+        m_pending.pop_front();
+        ++m_firstSequence;
+    }
+    if (m_closeAfterWrite) {
+        m_noMoreRequests = true;
+    }
+    writeMore();
+}
+
+void http_session::writeMore()
+{
+    if (m_writeActive || m_output.empty() || isClosed()) {
+        return;
+    }
+    m_writeActive = true;
+    m_writing.clear();
+    std::swap(m_writing, m_output);
+    m_writeDeadline = steadyNow() + m_environment->settings.transferTimeout;
+    updateDeadline();
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+        self->written(!error);
+    });
+}
+
+void http_session::written(bool success)
+{
+    m_writeActive = false;
+    m_writeDeadline = noDeadline;
+    if (isClosed()) {
+        return;
+    }
+    if (!success) {
+        closeOnStrand();
+        return;
+    }
+    if (m_closeAfterWrite && m_output.empty()) {
+        linger();
+        return;
+    }
+    writeMore();
+    parseReceived();
+    updateDeadline();
+    readMore();
+}
+
+void http_session::linger()
+{
+    // Closing with unread bytes resets the connection, and the caller could lose the answer that it has not read yet.
+    m_lingering = true;
+    m_unparsed.clear();
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+    m_deadline.store((steadyNow() + lingerTime).time_since_epoch().count(), std::memory_order_relaxed);
+    readMore();
+}
+
+void http_session::updateDeadline()
+{
+    monotonic_time deadline = std::min(m_requestDeadline, m_writeDeadline);
+    if (deadline == noDeadline && m_pending.empty()) {
+        deadline = steadyNow() + m_environment->settings.idleTimeout;
+    }
+    m_deadline.store(deadline.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+void http_session::checkTime(monotonic_time now)
+{
+    if (now.time_since_epoch().count() >= m_deadline.load(std::memory_order_relaxed)) {
+        close();
+    }
+}
+
+void http_session::watchCaller(std::uint64_t sequence, std::function<void()> function)
+{
+    boost::asio::dispatch(m_strand, [self = shared_from_this(), sequence, function = std::move(function)]() mutable {
+        if (self->isClosed()) {
+            function();
+        } else if (sequence >= self->m_firstSequence && sequence - self->m_firstSequence < self->m_pending.size()) {
+            pending_answer &pending = self->m_pending[sequence - self->m_firstSequence];
+            if (!pending.ready) {
+                pending.callerGone = std::move(function);
+            }
+        }
+    });
+}
+
+void http_session::close()
+{
+    boost::asio::dispatch(m_strand, [self = shared_from_this()] {
+        self->closeOnStrand();
+    });
+}
+
+void http_session::closeOnStrand()
+{
+    if (m_closed.exchange(true)) {
+        return;
+    }
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    std::vector<std::function<void()>> functions;
+    for (pending_answer &pending : m_pending) {
+        if (pending.callerGone) {
+            functions.push_back(std::move(pending.callerGone));
+        }
+    }
+    m_pending.clear();
+    for (const auto &function : functions) {
+        function();
+    }
+}
+
+} // namespace sycamoretray::detail
--- /dev/null
+++ b/libs/http_entry/detail/http_session.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "http_entry/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sycamoretray::detail
+{
+
+/** What the sessions of a server share. */
+struct session_environment {
+    http_server_settings settings;
+    http_request_handler handler;
+    std::atomic<std::uint32_t> connections{ 0 };
+    std::atomic<bool> closeAfterAnswer{ false };
+};
+
+/**
+ * One connection of a caller. Requests are read while earlier ones are being worked on; answers are kept until the answers to
+ * all earlier requests are written.
+ *
+ * Thread safety: start(), deliver(), checkTime(), watchCaller() and close() from any thread; the rest runs on the session's strand.
+ */
+class http_session : public std::enable_shared_from_this<http_session>
+{
+public:
+    using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
+    using socket_type = boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand_type>;
+
+    http_session(socket_type socket, std::shared_ptr<session_environment> environment);
+    ~http_session();
+    http_session(const http_session &) = delete;
+    http_session &operator=(const http_session &) = delete;
+
+    void start();
+
+    /** Takes the answer to the request @p sequence; no value closes the connection in place of the answer. */
+    void deliver(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive);
+
+    /** Closes the connection if its caller is too slow. */
+    void checkTime(monotonic_time now);
+
+    /** Calls @p function once if the caller goes away before the request @p sequence is answered. */
+    void watchCaller(std::uint64_t sequence, std::function<void()> function);
+
+    void close();
+
+    bool isClosed() const noexcept
+    {
+        return m_closed.load(std::memory_order_acquire);
+    }
+
+    bool closesAfterAnswer() const noexcept
+    {
+        return m_environment->closeAfterAnswer.load(std::memory_order_relaxed);
+    }
+
+private:
+    struct pending_answer {
+        std::optional<std::string> wire;
+        std::function<void()> callerGone;
+        bool ready = false;
+        bool keepAlive = true;
+    };
+
+    void readMore();
+    void received(std::size_t size);
+    void parseReceived();
+    void requestComplete();
+    void refuse(result_code code);
+    void sendContinue();
+    void deliverOnStrand(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive);
+    void collectReady();
+    void writeMore();
+    void written(bool success);
+    void linger();
+    void closeOnStrand();
+    void updateDeadline();
+
+    static constexpr monotonic_time noDeadline = monotonic_time::max();
+
+    strand_type m_strand;
+    socket_type m_socket;
+    std::shared_ptr<session_environment> m_environment;
+    http_request_parser m_parser;
+    std::array<char, 8192> m_input{};
+    std::string m_unparsed;
+    std::deque<pending_answer> m_pending;
+    /** Sequence of m_pending.front(). */
+    std::uint64_t m_firstSequence = 0;
+    std::string m_output;
+    std::string m_writing;
+    bool m_writeActive = false;
+    bool m_readActive = false;
+    bool m_noMoreRequests = false;
+    bool m_closeAfterWrite = false;
+    bool m_continueSent = false;
+    std::atomic<bool> m_closed{ false };
+    /** Steady time in microseconds at which the connection is closed; written on the strand, read by checkTime(). */
+    std::atomic<std::int64_t> m_deadline{ 0 };
+    monotonic_time m_requestDeadline = noDeadline;
+    monotonic_time m_writeDeadline = noDeadline;
+    bool m_lingering = false;
+};
+
+} // namespace sycamoretray::detail
--- /dev/null
+++ b/libs/http_entry/http_server.cpp
@@ -0,0 +1,229 @@
+#include "http_entry/http_server.h"
+
+#include "executor/steady_time.h"
+#include "http_client/detail/endpoint_address.h"
+#include "http_entry/detail/http_session.h"
+#include "http_message/http_writer.h"
+#include "observability/event_log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <unordered_set>
+#include <vector>
+
+namespace sycamoretray
+{
+
+using detail::http_session;
+
+namespace
+{
+
+// Time limits of connections are checked this often, in place of one timer per request.
+constexpr std::chrono::milliseconds sweepInterval(250);
+constexpr std::chrono::milliseconds acceptRetryInterval(50);
+
+} // namespace
+
+answer_slot::answer_slot(std::shared_ptr<http_session> session, std::uint64_t sequence, bool headRequest, bool keepAlive)
+    : m_session(std::move(session))
+    , m_sequence(sequence)
+    , m_headRequest(headRequest)
+    , m_keepAlive(keepAlive)
+{
+}
+
+answer_slot::~answer_slot()
+{
+    if (!m_answered.exchange(true)) {
+        m_session->deliver(m_sequence, std::nullopt, false);
+    }
+}
+
+void answer_slot::answer(http_response response)
+{
+    if (m_answered.exchange(true)) {
+        return;
+    }
+    const bool keepAlive = m_keepAlive && !m_session->closesAfterAnswer();
+    std::string wire;
+    wire.reserve(512 + response.body.size());
+    appendResponse(wire, response, {}, m_headRequest, keepAlive);
+    m_session->deliver(m_sequence, std::move(wire), keepAlive);
+}
+
+bool answer_slot::callerGone() const noexcept
+{
+    return m_session->isClosed();
+}
+
+void answer_slot::onCallerGone(std::function<void()> function)
+{
+    m_session->watchCaller(m_sequence, std::move(function));
+}
+
+struct http_server::impl : std::enable_shared_from_this<impl> {
+    using strand_type = http_session::strand_type;
+
+    impl(boost::asio::io_context &givenContext, http_server_settings settings, http_request_handler handler)
+        : context(&givenContext)
+        , strand(boost::asio::make_strand(givenContext))
+        , acceptor(strand)
+        , sweepTimer(strand)
+        , retryTimer(strand)
+        , environment(std::make_shared<detail::session_environment>())
+    {
+        environment->settings = std::move(settings);
+        environment->handler = std::move(handler);
+    }
+
+    boost::asio::io_context *context;
+    strand_type strand;
+    boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, strand_type> acceptor;
+    boost::asio::steady_timer sweepTimer;
+    boost::asio::steady_timer retryTimer;
+    std::shared_ptr<detail::session_environment> environment;
+    std::vector<std::weak_ptr<http_session>> sessions;
+    bool stopped = false;
+    std::uint16_t boundPort = 0;
+
+    std::error_code listen()
+    {
+        boost::asio::ip::tcp::endpoint endpoint;
+        if (!detail::parseAddress(environment->settings.address, endpoint)) {
+            return std::make_error_code(std::errc::invalid_argument);
+        }
+        boost::system::error_code error;
+        acceptor.open(endpoint.protocol(), error);
+        if (!error) {
+            acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+        }
+        if (!error) {
+            acceptor.bind(endpoint, error);
+        }
+        if (!error) {
+            acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        }
+        if (!error) {
+            boundPort = acceptor.local_endpoint(error).port();
+        }
+        return error;
+    }
+
+    void acceptNext()
+    {
+        acceptor.async_accept(boost::asio::make_strand(*context),
+                              [self = shared_from_this()](const boost::system::error_code &error, http_session::socket_type socket) {
+                                  self->accepted(error, std::move(socket));
+                              });
+    }
+
+    void accepted(const boost::system::error_code &error, http_session::socket_type socket)
+    {
+        if (stopped) {
+            return;
+        }
+        if (error) {
+            // Out of file descriptors, for example: without a pause this would use a whole core.
+            retryTimer.expires_after(acceptRetryInterval);
+            retryTimer.async_wait([self = shared_from_this()](const boost::system::error_code &waitError) {
+                if (!waitError && !self->stopped) {
+                    self->acceptNext();
+                }
+            });
+            return;
+        }
+        if (environment->connections.load(std::memory_order_relaxed) < environment->settings.maxConnections) {
+            auto session = std::make_shared<http_session>(std::move(socket), environment);
+            sessions.push_back(session);
+            session->start();
+        } else {
+            logEvent(event_severity::warning, "connection_refused", { { "limit", std::to_string(environment->settings.maxConnections) } });
+        }
+        acceptNext();
+    }
+
+    void sweep()
+    {
+        sweepTimer.expires_after(sweepInterval);
+        sweepTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (error || !self || self->stopped) {
+                return;
+            }
+            const monotonic_time now = steadyNow();
+            std::erase_if(self->sessions, [&](const std::weak_ptr<http_session> &entry) {
+                const auto session = entry.lock();
+                if (session) {
+                    session->checkTime(now);
+                }
+                return !session || session->isClosed();
+            });
+            self->sweep();
+        });
+    }
+
+    void stopOnStrand()
+    {
+        stopped = true;
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        sweepTimer.cancel();
+        retryTimer.cancel();
+        for (const auto &entry : sessions) {
+            if (const auto session = entry.lock()) {
+                session->close();
+            }
+        }
+        sessions.clear();
+    }
+};
+
+http_server::http_server(boost::asio::io_context &context, http_server_settings settings, http_request_handler handler)
+    : d(std::make_shared<impl>(context, std::move(settings), std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+std::error_code http_server::start()
+{
+    const std::error_code error = d->listen();
+    if (!error) {
+        boost::asio::post(d->strand, [impl = d] {
+            impl->acceptNext();
+            impl->sweep();
+        });
+    }
+    return error;
+}
+
+std::uint16_t http_server::port() const noexcept
+{
+    return d->boundPort;
+}
+
+void http_server::closeAfterAnswer()
+{
+    d->environment->closeAfterAnswer.store(true);
+}
+
+void http_server::stop()
+{
+    boost::asio::dispatch(d->strand, [impl = d] {
+        impl->stopOnStrand();
+    });
+}
+
+std::uint32_t http_server::connections() const noexcept
+{
+    return d->environment->connections.load(std::memory_order_relaxed);
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/http_message/http_message.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sycamoretray
+{
+
+struct http_field {
+    std::string name;
+    std::string value;
+    friend bool operator==(const http_field &, const http_field &) = default;
+};
+
+using http_fields = std::vector<http_field>;
+
+/** A complete request. The body is decoded, so fields that describe its framing have no meaning any more. */
+struct http_request {
+    std::string method;
+    std::string target;
+    http_fields fields;
+    std::string body;
+    /** False if the connection ends after the answer. */
+    bool keepAlive = true;
+};
+
+/** A complete response. */
+struct http_response {
+    std::uint32_t status = 200;
+    http_fields fields;
+    std::string body;
+    bool keepAlive = true;
+};
+
+/** Compares field names: ASCII letters without regard to case. Thread-safe. */
+bool equalFieldNames(std::string_view left, std::string_view right) noexcept;
+
+/** Returns the value of the first field named @p name, or nullptr. Thread-safe. */
+const std::string *findField(const http_fields &fields, std::string_view name) noexcept;
+
+/** Returns how many fields are named @p name. Thread-safe. */
+std::size_t countFields(const http_fields &fields, std::string_view name) noexcept;
+
+/** Removes the fields that apply to one connection only, those that Connection names, and Content-Length. Thread-safe. */
+void removeConnectionFields(http_fields &fields);
+
+/**
+ * Removes the fields whose names start with "Sycamoretray-". Underscores count as hyphens, because servers that pass fields
+ * as environment variables do not tell them apart. Thread-safe.
+ */
+void removeOwnFields(http_fields &fields);
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/http_message/http_parser.cpp
@@ -0,0 +1,287 @@
+#include "http_message/http_parser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+template<bool isRequest>
+using message_type = std::conditional_t<isRequest, http_request, http_response>;
+
+/** Collects a message directly in our own structures, without Beast's field container. */
+template<bool isRequest>
+class message_parser final : public http::basic_parser<isRequest>
+{
+public:
+    explicit message_parser(const http_limits &limits)
+        : m_limits(limits)
+    {
+        this->eager(true);
+        this->header_limit(limits.headerBytes);
+        this->body_limit(limits.bodyBytes);
+    }
+
+    message_type<isRequest> message;
+    bool ambiguousLength = false;
+    bool tooManyFields = false;
+    bool expectsContinue = false;
+    bool started = false;
+
+private:
+    void on_request_impl(http::verb /*method*/, beast::string_view method, beast::string_view target, int /*version*/, beast::error_code & /*ec*/) override
+    {
+        if constexpr (isRequest) {
+            message.method.assign(method.data(), method.size());
+            message.target.assign(target.data(), target.size());
+        }
+    }
+
+    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/, beast::error_code & /*ec*/) override
+    {
+        if constexpr (!isRequest) {
+            message.status = static_cast<std::uint32_t>(code);
+        }
+    }
+
+    void on_field_impl(http::field field, beast::string_view name, beast::string_view value, beast::error_code &ec) override
+    {
+        if (m_headerDone) {
+            // Trailer fields are dropped: they would bypass the checks made on the header.
+            return;
+        }
+        if (message.fields.size() >= m_limits.fields) {
+            tooManyFields = true;
+            ec = http::error::header_limit;
+            return;
+        }
+        m_lengthFields += field == http::field::content_length ? 1 : 0;
+        m_codingFields += field == http::field::transfer_encoding ? 1 : 0;
+        if (field == http::field::expect && beast::iequals(value, "100-continue")) {
+            expectsContinue = true;
+        }
+        message.fields.push_back({ std::string(name.data(), name.size()), std::string(value.data(), value.size()) });
+    }
+
+    void on_header_impl(beast::error_code &ec) override
+    {
+        m_headerDone = true;
+        const bool otherCoding = m_codingFields > 0 && !this->chunked();
+        if (m_lengthFields + m_codingFields > 1 || otherCoding) {
+            ambiguousLength = true;
+            ec = http::error::bad_content_length;
+        }
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, beast::error_code & /*ec*/) override
+    {
+        if (length) {
+            // The announced length is not trusted for more than this: the memory is taken as the body arrives.
+            constexpr std::uint64_t largestReserve = 64ULL * 1024;
+            message.body.reserve(static_cast<std::size_t>(std::min(*length, largestReserve)));
+        }
+    }
+
+    std::size_t on_body_impl(beast::string_view body, beast::error_code & /*ec*/) override
+    {
+        message.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/, beast::error_code & /*ec*/) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view body, beast::error_code &ec) override
+    {
+        if (message.body.size() + body.size() > m_limits.bodyBytes) {
+            ec = http::error::body_limit;
+            return 0;
+        }
+        message.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_finish_impl(beast::error_code & /*ec*/) override
+    {
+    }
+
+    http_limits m_limits;
+    std::uint32_t m_lengthFields = 0;
+    std::uint32_t m_codingFields = 0;
+    bool m_headerDone = false;
+};
+
+template<bool isRequest>
+struct parser_state {
+    http_limits limits;
+    std::optional<message_parser<isRequest>> parser;
+    http_parse_state state = http_parse_state::need_more;
+    result_code error = result_code::ok;
+
+    explicit parser_state(const http_limits &given)
+        : limits(given)
+    {
+        restart();
+    }
+
+    void restart()
+    {
+        parser.emplace(limits);
+        state = http_parse_state::need_more;
+        error = result_code::ok;
+    }
+
+    void fail(const beast::error_code &ec)
+    {
+        state = http_parse_state::failed;
+        if (ec == http::error::header_limit) {
+            error = result_code::header_too_large;
+        } else if (ec == http::error::body_limit) {
+            error = result_code::body_too_large;
+        } else {
+            error = isRequest ? result_code::malformed_request : result_code::malformed_message;
+        }
+    }
+
+    std::size_t feed(std::string_view data)
+    {
+        if (data.empty()) {
+            return 0;
+        }
+        parser->started = true;
+        beast::error_code ec;
+        const std::size_t used = parser->put(boost::asio::const_buffer(data.data(), data.size()), ec);
+        if (ec && ec != http::error::need_more) {
+            fail(ec);
+            return used;
+        }
+        if (!isRequest && parser->is_header_done() && parser->need_eof()) {
+            state = http_parse_state::failed;
+            error = result_code::answer_truncated;
+        } else if (parser->is_done()) {
+            parser->message.keepAlive = parser->keep_alive();
+            state = http_parse_state::complete;
+        } else if (!parser->is_header_done() && data.size() - used > limits.headerBytes) {
+            fail(http::error::header_limit);
+        }
+        return used;
+    }
+};
+
+} // namespace
+
+struct http_request_parser::impl : parser_state<true> {
+    using parser_state::parser_state;
+};
+
+http_request_parser::http_request_parser(http_limits limits)
+    : d(std::make_unique<impl>(limits))
+{
+}
+
+http_request_parser::~http_request_parser() = default;
+http_request_parser::http_request_parser(http_request_parser &&) noexcept = default;
+http_request_parser &http_request_parser::operator=(http_request_parser &&) noexcept = default;
+
+std::size_t http_request_parser::feed(std::string_view data)
+{
+    return d->feed(data);
+}
+
+http_parse_state http_request_parser::state() const noexcept
+{
+    return d->state;
+}
+
+result_code http_request_parser::error() const noexcept
+{
+    return d->error;
+}
+
+bool http_request_parser::headerComplete() const noexcept
+{
+    return d->parser->is_header_done();
+}
+
+bool http_request_parser::expectsContinue() const noexcept
+{
+    return d->parser->expectsContinue;
+}
+
+http_request http_request_parser::take()
+{
+    http_request result = std::move(d->parser->message);
+    d->restart();
+    return result;
+}
+
+struct http_response_parser::impl : parser_state<false> {
+    using parser_state::parser_state;
+    bool headRequest = false;
+    std::uint32_t interimResponses = 0;
+};
+
+http_response_parser::http_response_parser(http_limits limits)
+    : d(std::make_unique<impl>(limits))
+{
+}
+
+http_response_parser::~http_response_parser() = default;
+http_response_parser::http_response_parser(http_response_parser &&) noexcept = default;
+http_response_parser &http_response_parser::operator=(http_response_parser &&) noexcept = default;
+
+void http_response_parser::reset(bool headRequest)
+{
+    d->headRequest = headRequest;
+    d->interimResponses = 0;
+    d->restart();
+    d->parser->skip(headRequest);
+}
+
+std::size_t http_response_parser::feed(std::string_view data)
+{
+    constexpr std::uint32_t mostInterimResponses = 4;
+    std::size_t used = d->feed(data);
+    while (d->state == http_parse_state::complete && d->parser->message.status < 200 && d->interimResponses < mostInterimResponses) {
+        ++d->interimResponses;
+        d->restart();
+        d->parser->skip(d->headRequest);
+        used += d->feed(data.substr(used));
+    }
+    if (d->state == http_parse_state::complete && d->parser->message.status < 200) {
+        d->fail(http::error::bad_status);
+    }
+    return used;
+}
+
+http_parse_state http_response_parser::state() const noexcept
+{
+    return d->state;
+}
+
+result_code http_response_parser::error() const noexcept
+{
+    return d->error;
+}
+
+bool http_response_parser::started() const noexcept
+{
+    return d->parser->started;
+}
+
+http_response http_response_parser::take()
+{
+    return std::move(d->parser->message);
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/log_client/instance_list_client.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/monotonic_time.h"
+#include "executor/serial_executor.h"
+#include "http_message/http_message.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamoretray
+{
+
+struct instance_list_entry {
+    instance_id instance;
+    incarnation_id incarnation;
+    availability_zone zone;
+    network_address peerAddress;
+    bool leaving = false;
+};
+
+/** Decodes the reply to GET /instances. Returns nothing if it is not of the form that docs/protocols.md gives. Thread-safe. */
+std::optional<std::vector<instance_list_entry>> decodeInstanceList(const http_response &response);
+
+/**
+ * Client of the instance list.
+ *
+ * Thread safety: none; all calls are made on the strand of the executor, and callbacks run on it.
+ */
+class instance_list_client
+{
+public:
+    instance_list_client(serial_executor executor, const network_address &address);
+    ~instance_list_client();
+    instance_list_client(const instance_list_client &) = delete;
+    instance_list_client &operator=(const instance_list_client &) = delete;
+
+    /** Reads the list. @p done gets nothing if the list is not available. */
+    void read(time_span timeout, std::function<void(std::optional<std::vector<instance_list_entry>>)> done);
+
+    /** Registers an instance. @p done gets whether the list accepted it. */
+    void put(const instance_list_entry &entry, time_span timeout, std::function<void(bool)> done);
+
+    /** Removes an instance. @p done gets whether the list accepted it. */
+    void remove(const instance_id &instance, time_span timeout, std::function<void(bool)> done);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> d;
+};
+
+} // namespace sycamoretray
