Let an instance without a majority of its peers claim late and declare nobody left

Cause: an instance that reaches the log but not its peers sees all others as silent. It would claim every server from homes that work, and after 30 s declare all other instances left. Ruled out: trusting the instance list instead, which lags. Now it claims after a further 3 s, and only a majority declares an instance left that the list still shows. Found by review; not yet measured.

--- a/libs/controller/home_claims.cpp
+++ b/libs/controller/home_claims.cpp
@@ -7,6 +7,17 @@
 namespace sycamoretray
 {
 
+namespace
+{
+
+/**
+ * Extra delay before an instance that hears less than half of the confirmers claims servers. It may be the one that is cut off, and its
+ * claims would take every server from homes that work; if the others are really lost, the servers are still served again.
+ */
+constexpr time_span minorityDelay = std::chrono::seconds(3);
+
+} // namespace
+
 home_claims::home_claims(controller_context &context, const evidence_tracker &evidence, const peer_monitor &peers, append_queue &queue)
     : m_context(context)
     , m_evidence(evidence)
@@ -59,13 +70,14 @@
         return;
     }
     std::vector<home_candidate> instances = candidates();
+    const time_span delay = m_peers.seesMajority() ? time_span(0) : minorityDelay;
     for (const auto &[id, since] : m_free) {
         const server_state &server = m_context.state.servers().at(id);
         const std::vector<home_candidate> ranked = rankHomes(id, server.endpoint.zone, instances);
         const auto own = std::find_if(ranked.begin(), ranked.end(), [this](const home_candidate &c) {
             return c.incarnation == m_context.self();
         });
-        const time_span turn = m_context.settings.timing.takeoverStep * (own - ranked.begin());
+        const time_span turn = delay + m_context.settings.timing.takeoverStep * (own - ranked.begin());
         if (own != ranked.end() && m_context.now - since >= turn && !m_claims.contains(id)) {
             claim(id, server.term);
         }
--- a/libs/controller/membership.cpp
+++ b/libs/controller/membership.cpp
@@ -12,7 +12,7 @@
 
 /** The instance list lags, so an instance that it no longer shows must also be silent for a while. */
 constexpr time_span unlistedSilence = std::chrono::seconds(3);
-/** Past this silence an instance is declared left whatever the list says; it must restart to return. */
+/** Past this silence a majority declares an instance left whatever the list says; it must restart to return. */
 constexpr time_span listedSilence = std::chrono::seconds(30);
 
 } // namespace
@@ -98,7 +98,7 @@
     const bool replaced = std::any_of(instances.begin(), instances.end(), [&instance](const auto &entry) {
         return entry.second.instance == instance.instance && entry.second.joined > instance.joined;
     });
-    return replaced || (m_listKnown && !m_listed.contains(incarnation) && silence > unlistedSilence) || silence > listedSilence;
+    return replaced || (m_listKnown && !m_listed.contains(incarnation) && silence > unlistedSilence) || (silence > listedSilence && m_peers.seesMajority());
 }
 
 void membership::declareLeft()
--- a/libs/controller/peer_monitor.cpp
+++ b/libs/controller/peer_monitor.cpp
@@ -142,6 +142,14 @@
     return alive(incarnation) && !m_listedLeaving.contains(incarnation) && (found == m_peers.end() || !found->second.leaving);
 }
 
+bool peer_monitor::seesMajority() const
+{
+    const confirmer_set &confirmers = m_context.state.confirmers();
+    return confirmers.members().empty() || confirmers.majority([this](const incarnation_id &confirmer) {
+        return confirmer == m_context.self() || alive(confirmer);
+    });
+}
+
 log_offset peer_monitor::reported(const incarnation_id &incarnation) const
 {
     if (incarnation == m_context.self()) {
--- a/libs/controller/peer_monitor.h
+++ b/libs/controller/peer_monitor.h
@@ -40,6 +40,9 @@
     /** How long the instance was silent. */
     time_span silence(const incarnation_id &incarnation) const;
 
+    /** True if more than half of the confirmers were heard lately; an instance without them may be the one that is cut off. */
+    bool seesMajority() const;
+
     /** Highest position that the instance reported; own position for this instance. */
     log_offset reported(const incarnation_id &incarnation) const;
 
