Count one confirmer per instance

Cause: a restarted instance was added as a confirmer before its earlier incarnation was removed. When it was killed 130 ms later, two of four confirmers were dead and case 3 waited for ever. Change: an incarnation becomes a confirmer only after the earlier one of the same instance was removed.

--- a/libs/controller/membership.cpp
+++ b/libs/controller/membership.cpp
@@ -140,8 +140,15 @@
             return true;
         }
     }
+    // A restarted instance counts once its earlier incarnation was removed. Both together would make an even number, of which one
+    // more failure of the same instance takes the majority away.
+    std::set<instance_id> present;
+    for (const incarnation_id &member : confirmers.members()) {
+        const instance_state *instance = m_context.state.findInstance(member);
+        present.insert(instance != nullptr ? instance->instance : instance_id());
+    }
     for (const auto &[incarnation, instance] : m_context.state.instances()) {
-        const bool wanted = confirmers.members().size() < confirmer_set::maximumSize && !confirmers.members().contains(incarnation);
+        const bool wanted = confirmers.members().size() < confirmer_set::maximumSize && !present.contains(instance.instance);
         if (wanted && m_peers.candidate(incarnation)) {
             m_pending = m_queue.add(confirmersChangedRecord(number, incarnation, true));
             return true;
