Bound what a home gains by load reports that are always too low

A home whose reports always said 'no load' received 1.22 times the mean work, because believed loads differed by just more than the tie range. A candidate chosen more often than the median is now charged for the excess.

--- a/libs/dispatch/home_chooser.cpp
+++ b/libs/dispatch/home_chooser.cpp
@@ -15,6 +15,14 @@
 constexpr std::uint32_t choicesPerDecay = 256;
 /** Loads per worker slot that differ by less are equal; a slot's worth of reported load is within the noise of old reports. */
 constexpr double equalLoad = 0.34;
+/**
+ * Load per worker slot added for a candidate that was chosen more often than the median, times the excess share. It bounds
+ * what a home gains by reports that are always too low: 1.22 times the mean without it. The median, not the mean, is the
+ * reference because the others are rightly chosen more often than a slow server.
+ */
+constexpr double excessPenalty = 5;
+/** Choices per worker slot below which an excess is within the noise. */
+constexpr double fewChoices = 10;
 
 } // namespace
 
@@ -52,11 +60,15 @@
     }
     m_homes = std::move(homes);
     m_index = std::move(index);
+    m_medianChoices = medianOf([](const home &each) {
+        return each.recentChoices;
+    });
 }
 
 double home_chooser::load(const home &each) const
 {
-    return (each.inFlight + each.reportedByOthers) / std::max(1U, each.candidate.workerSlots);
+    const double perSlot = (each.inFlight + each.reportedByOthers) / std::max(1U, each.candidate.workerSlots);
+    return perSlot + excessPenalty * std::max(0.0, each.recentChoices / std::max(fewChoices, m_medianChoices) - 1);
 }
 
 bool home_chooser::isBetter(const home &a, const home &b) const
@@ -84,18 +96,23 @@
     home &chosen = isBetter(a, b) ? a : b;
     ++chosen.inFlight;
     chosen.recentChoices += 1.0 / std::max(1U, chosen.candidate.workerSlots);
-    decayChoices();
+    countChoice();
     return chosen.candidate.server;
 }
 
-void home_chooser::decayChoices()
+void home_chooser::countChoice()
 {
-    if (++m_choices < choicesPerDecay * m_homes.size()) {
-        return;
+    ++m_choices;
+    if (m_choices >= choicesPerDecay * m_homes.size()) {
+        m_choices = 0;
+        for (home &each : m_homes) {
+            each.recentChoices /= 2;
+        }
     }
-    m_choices = 0;
-    for (home &each : m_homes) {
-        each.recentChoices /= 2;
+    if (m_choices % m_available.size() == 0) {
+        m_medianChoices = medianOf([](const home &each) {
+            return each.recentChoices;
+        });
     }
 }
 
@@ -107,19 +124,18 @@
     }
 }
 
-double home_chooser::medianReport() const
+double home_chooser::medianOf(double (*value)(const home &)) const
 {
-    std::vector<double> reports;
-    reports.reserve(m_available.size());
+    std::vector<double> values;
+    values.reserve(m_available.size());
     for (const std::size_t position : m_available) {
-        const home &each = m_homes[position];
-        reports.push_back(each.lastReport / std::max(1U, each.candidate.workerSlots));
+        values.push_back(value(m_homes[position]));
     }
-    if (reports.empty()) {
+    if (values.empty()) {
         return 0;
     }
-    const auto middle = reports.begin() + static_cast<std::ptrdiff_t>(reports.size() / 2);
-    std::nth_element(reports.begin(), middle, reports.end());
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
     return *middle;
 }
 
@@ -132,7 +148,9 @@
     home &each = m_homes[found->second];
     each.lastReport = static_cast<double>(queued) + running;
     const double slots = std::max(1U, each.candidate.workerSlots);
-    const double median = medianReport() * slots;
+    const double median = slots * medianOf([](const home &other) {
+                              return other.lastReport / std::max(1U, other.candidate.workerSlots);
+                          });
     // The bounds keep the effect of one false report below equalLoad; a lasting difference still adds up to more.
     const double believed = std::clamp(each.lastReport, median / 2, median * 1.5 + slots / 2);
     const double others = std::max(0.0, believed - each.inFlight);
--- a/libs/dispatch/home_chooser.h
+++ b/libs/dispatch/home_chooser.h
@@ -58,14 +58,17 @@
 
     double load(const home &each) const;
     bool isBetter(const home &a, const home &b) const;
-    double medianReport() const;
-    void decayChoices();
+    /** Median of @p value over the available candidates; 0 if there are none. */
+    double medianOf(double (*value)(const home &)) const;
+    void countChoice();
 
     std::vector<home> m_homes;
     std::vector<std::size_t> m_available;
     std::unordered_map<server_id, std::size_t> m_index;
     std::mt19937_64 m_random;
     std::uint32_t m_choices = 0;
+    /** Median of recentChoices, at most one choice per candidate old. */
+    double m_medianChoices = 0;
 };
 
 } // namespace sycamoretray
