Refuse earlier under overload, and start with an empty retry budget

- With a deadline of 100 ms the p99 of refusals was 88 ms: half of the admitted requests missed the check before dispatch by little.

--- a/libs/dispatch/retry_budget.h
+++ b/libs/dispatch/retry_budget.h
@@ -40,7 +40,8 @@
     static constexpr double maximumBalance = 10;
 
     double m_share;
-    double m_balance = maximumBalance;
+    /** Empty at first, so that attempts never exceed (1 + share) times the requests. */
+    double m_balance = 0;
 };
 
 } // namespace sycamoretray
--- a/libs/dispatch/server_dispatcher.h
+++ b/libs/dispatch/server_dispatcher.h
@@ -149,8 +149,11 @@
     double retryShare = 0.1;
     /** Largest jittered wait before the first retry; doubled for each further one. */
     time_span retryDelay = std::chrono::milliseconds(10);
-    /** Requests whose expected queue delay exceeds this are refused, so that the queue is short again after a peak. */
-    time_span queueDelayLimit = std::chrono::milliseconds(500);
+    /**
+     * Requests whose expected queue delay exceeds this are refused. At 70 % load a full queue takes 3.3 times as long to
+     * drain, and the p99 is to be normal again 1 s after a peak; 500 ms took 1.6 s and 250 ms took 1.0 s.
+     */
+    time_span queueDelayLimit = std::chrono::milliseconds(200);
     /** Seed of the generator for the retry jitter. */
     std::uint64_t seed = 0;
     std::uint32_t crashLimit = 2;
--- a/libs/dispatch/server_dispatcher_admission.cpp
+++ b/libs/dispatch/server_dispatcher_admission.cpp
@@ -12,6 +12,11 @@
 constexpr std::size_t repeatsPerId = 16;
 /** A queue may hold this many times its longest run time even if that exceeds the limit of the queue delay. */
 constexpr int queuedLongestRuns = 4;
+/**
+ * The expected delay is taken as 1/8 longer. Without this margin half of the requests admitted under overload missed the
+ * check before dispatch by little and were refused after 88 of 100 ms.
+ */
+constexpr int delayMarginDivisor = 8;
 
 } // namespace
 
@@ -109,7 +114,9 @@
     if (delay == time_span(0)) {
         return false;
     }
-    if (now + delay + runTimes.expected(request.requestClass) > request.deadline) {
+    // Stricter than the check before dispatch: a request that is likely to be given up there is refused here, at once.
+    const time_span runTime = std::max(runTimes.expected(request.requestClass), runTimes.cautious(request.requestClass));
+    if (now + delay + delay / delayMarginDivisor + runTime > request.deadline) {
         finishNew(request, result_code::deadline_unreachable);
         return true;
     }
