Add the instance daemon

The daemon runs the controller and one dispatcher per homed server, takes callers' requests, forwards them to the home of their server and answers each once.

--- /dev/null
+++ b/apps/sycamoretrayd/administration.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "controller/controller_actions.h"
+#include "controller/controller_events.h"
+#include "http_entry/http_server.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace sycamoretray
+{
+
+class control_loop;
+class home_registry;
+class metrics_registry;
+class routing_store;
+
+/** What the administration API works on. */
+struct administration_environment {
+    /** Empty if no token is required. */
+    std::string token;
+    std::shared_ptr<control_loop> control;
+    std::shared_ptr<home_registry> homes;
+    std::shared_ptr<routing_store> routing;
+    const metrics_registry *metrics = nullptr;
+    std::function<bool()> ready;
+    std::function<void()> stop;
+};
+
+/**
+ * The administration API of docs/protocols.md.
+ *
+ * Thread safety: any thread.
+ */
+class administration : public std::enable_shared_from_this<administration>
+{
+public:
+    explicit administration(administration_environment environment);
+    ~administration();
+    administration(const administration &) = delete;
+    administration &operator=(const administration &) = delete;
+
+    void handle(const http_request &request, const std::shared_ptr<answer_slot> &slot);
+
+    /** The controller's answer to a publication or another change. */
+    void published(const publish_outcome &outcome);
+
+    /** Calls @p done with the whole state as JSON text. */
+    void dump(std::function<void(std::string)> done);
+
+private:
+    using slot_pointer = std::shared_ptr<answer_slot>;
+
+    using query_fields = std::map<std::string, std::string>;
+
+    void handleAuthorized(const http_request &request, const slot_pointer &slot, const std::string &path, const query_fields &query);
+    void status(const slot_pointer &slot);
+    void owner(const slot_pointer &slot, const query_fields &query);
+    void listDocuments(const slot_pointer &slot);
+    void document(const http_request &request, const slot_pointer &slot, const std::string &path, const query_fields &query);
+    void showDocument(const slot_pointer &slot, document_kind kind, const std::string &name);
+    void publish(const http_request &request, const slot_pointer &slot, document_kind kind, const std::string &name, bool dryRun);
+    void checkOnly(const publish_requested &request, const slot_pointer &slot);
+    void drain(const http_request &request, const slot_pointer &slot);
+    void resetConfirmers(const http_request &request, const slot_pointer &slot);
+    operation_id expect(const slot_pointer &slot);
+
+    administration_environment m_environment;
+    std::atomic<std::uint64_t> m_lastOperation{ 0 };
+    std::mutex m_mutex;
+    std::map<operation_id, slot_pointer> m_pending;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/entry_router.cpp
@@ -0,0 +1,407 @@
+#include "sycamoretrayd/entry_router.h"
+
+#include "executor/steady_time.h"
+#include "http_entry/error_answer.h"
+#include "sycamoretrayd/forward_codec.h"
+#include "sycamoretrayd/payloads.h"
+#include "sycamoretrayd/request_admission.h"
+#include "sycamoretrayd/request_id_generator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+constexpr double retryShare = 0.1;
+constexpr std::uint32_t parkTickMilliseconds = 5;
+constexpr std::uint32_t sweepMilliseconds = 50;
+/** A key is served again within this time of a loss, so it does not help to wait longer for its routing. */
+constexpr time_span unservedLimit = std::chrono::seconds(2);
+constexpr time_span firstPark = std::chrono::milliseconds(5);
+constexpr time_span longestPark = std::chrono::milliseconds(80);
+constexpr std::size_t mostParked = 16384;
+/** The home answers at the deadline; the entry only makes up for a home that does not. */
+constexpr time_span overdueGrace = std::chrono::milliseconds(50);
+/** Peers probe every 100 ms, and a home that is silent for this long is suspected by the ownership protocol. */
+constexpr time_span silenceLimit = std::chrono::milliseconds(450);
+
+bool isCuredByRouting(result_code code)
+{
+    return code == result_code::wrong_home || code == result_code::refused_by_server || code == result_code::no_owner;
+}
+
+} // namespace
+
+entry_router::entry_router(serial_executor executor, entry_environment environment)
+    : m_executor(std::move(executor))
+    , m_environment(std::move(environment))
+    , m_undivided(std::hash<incarnation_id>{}(m_environment.self))
+    , m_budget(retryShare)
+    , m_latency(&m_environment.metrics->distribution("sycamoretray_request_seconds"))
+    , m_retries(&m_environment.metrics->counter("sycamoretray_entry_retries_total"))
+    , m_dropped(&m_environment.metrics->counter("sycamoretray_late_answers_total"))
+{
+    constexpr int endOfRequestCodes = 300;
+    for (int number = 0; number < endOfRequestCodes; ++number) {
+        const auto code = static_cast<result_code>(number);
+        if (number == 0 || resultName(code) != resultName(result_code::ok)) {
+            m_resultCounters[code] = nullptr;
+        }
+    }
+    for (auto &[code, counter] : m_resultCounters) {
+        counter = &m_environment.metrics->counter("sycamoretray_results_" + std::string(resultName(code)) + "_total");
+    }
+}
+
+entry_router::~entry_router() = default;
+
+void entry_router::start()
+{
+    m_executor.repeat(parkTickMilliseconds, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+            self->unparkDue(false);
+        }
+        return self != nullptr;
+    });
+    m_executor.repeat(sweepMilliseconds, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+            self->sweep();
+        }
+        return self != nullptr;
+    });
+}
+
+void entry_router::handle(http_request request, std::shared_ptr<answer_slot> slot)
+{
+    const wall_time wall = wallNow();
+    const request_id generated = generateRequestId(wall);
+    const auto refusal = static_cast<result_code>(m_refusal.load(std::memory_order_relaxed));
+    if (refusal != result_code::ok) {
+        countResult(refusal);
+        slot->answer(errorAnswer(refusal, generated));
+        return;
+    }
+    const monotonic_time now = steadyNow();
+    admission_result admitted = admitRequest(std::move(request), *m_environment.routing->get(), generated, now, wall);
+    if (admitted.code != result_code::ok) {
+        countResult(admitted.code);
+        slot->answer(errorAnswer(admitted.code, admitted.request.requestId));
+        return;
+    }
+    auto entry = std::make_shared<entry_request>();
+    entry->request = std::move(admitted.request);
+    entry->service = std::move(admitted.service);
+    entry->dividedByKey = admitted.dividedByKey;
+    entry->slot = std::move(slot);
+    entry->arrived = now;
+    m_open.fetch_add(1, std::memory_order_relaxed);
+    {
+        const std::lock_guard lock(m_budgetMutex);
+        m_budget.earn();
+    }
+    entry->slot->onCallerGone([weak = weak_from_this(), weakEntry = std::weak_ptr(entry)] {
+        const auto self = weak.lock();
+        const auto gone = weakEntry.lock();
+        if (self && gone) {
+            self->callerGone(gone);
+        }
+    });
+    route(entry);
+}
+
+void entry_router::route(const request_pointer &request)
+{
+    if (request->callerGone.load()) {
+        finish(request, result_code::deadline_expired);
+        return;
+    }
+    if (steadyNow() >= request->request.deadline) {
+        finish(request, result_code::deadline_expired);
+        return;
+    }
+    const auto table = m_environment.routing->get();
+    const routed_service *service = table->findService(request->service);
+    if (service == nullptr) {
+        finish(request, result_code::no_matching_service);
+        return;
+    }
+    server_route route;
+    const result_code code = chooseServer(*service, request, route);
+    if (code == result_code::ok) {
+        forward(request, route);
+    } else if (isCuredByRouting(code)) {
+        refused(request, code);
+    } else {
+        finish(request, code);
+    }
+}
+
+result_code entry_router::chooseServer(const routed_service &service, const request_pointer &request, server_route &route)
+{
+    const server_route *chosen = nullptr;
+    if (service.service.dividedByKey) {
+        chosen = routing_table::findOwner(service, request->request.key);
+    } else {
+        const undivided_chooser::choice choice = m_undivided.choose(service, request->request);
+        if (choice.code != result_code::ok) {
+            return choice.code;
+        }
+        const auto found = std::find_if(service.servers.begin(), service.servers.end(), [&](const server_route &candidate) {
+            return candidate.endpoint.server == choice.server;
+        });
+        if (found == service.servers.end() || found->home.value().empty()) {
+            m_undivided.finished(service.service.name, choice.server);
+            return result_code::no_owner;
+        }
+        chosen = &*found;
+    }
+    if (chosen == nullptr || chosen->home.value().empty()) {
+        return result_code::no_owner;
+    }
+    route.endpoint.server = chosen->endpoint.server;
+    route.home = chosen->home;
+    route.term = chosen->term;
+    return result_code::ok;
+}
+
+void entry_router::forward(const request_pointer &request, const server_route &route)
+{
+    const std::uint64_t forwardId = m_lastForwardId.fetch_add(1, std::memory_order_relaxed) + 1;
+    const server_id &server = route.endpoint.server;
+    request->forwardId.store(forwardId);
+    if (route.home == m_environment.self) {
+        m_forwards.add({ request, route.home, server, forwardId });
+        if (const auto home = m_environment.homes->find(server)) {
+            home->submit({ m_environment.self, forwardId }, request->request);
+        } else {
+            completed(forwardId, route.home, result_code::wrong_home, nullptr);
+        }
+    } else if (const auto address = m_environment.peers->addressOf(route.home)) {
+        std::string message = encodeForward(forwardId, request->service, server, route.term, request->request, steadyNow());
+        m_forwards.add({ request, route.home, server, forwardId });
+        m_environment.send(route.home, *address, std::move(message));
+    } else {
+        m_forwards.add({ request, route.home, server, forwardId });
+        completed(forwardId, route.home, result_code::no_owner, nullptr);
+        return;
+    }
+    if (request->callerGone.load()) {
+        callerGone(request);
+    }
+}
+
+void entry_router::completed(std::uint64_t forwardId, const incarnation_id &home, result_code code, const std::shared_ptr<const answer_payload> &answer)
+{
+    const std::optional<pending_forward> forward = m_forwards.take(forwardId, home);
+    if (!forward) {
+        m_dropped->add();
+        return;
+    }
+    outcome(*forward, code, answer);
+}
+
+void entry_router::outcome(const pending_forward &forward, result_code code, const std::shared_ptr<const answer_payload> &answer)
+{
+    const request_pointer &request = forward.request;
+    if (!request->dividedByKey) {
+        m_undivided.finished(request->service, forward.server);
+    }
+    if (code == result_code::ok && answer) {
+        finish(request, code, answer);
+    } else if (isCuredByRouting(code)) {
+        refused(request, code);
+    } else if (code == result_code::server_connection_lost || code == result_code::home_lost) {
+        lost(request, code);
+    } else {
+        finish(request, code == result_code::ok ? result_code::answer_truncated : code);
+    }
+}
+
+void entry_router::refused(const request_pointer &request, result_code code)
+{
+    const monotonic_time now = steadyNow();
+    if (request->refusedSince == monotonic_time::max()) {
+        request->refusedSince = now;
+    }
+    const time_span wait = std::min(longestPark, firstPark * (1U << std::min(request->refusals, 4U)));
+    ++request->refusals;
+    if (now - request->refusedSince > unservedLimit || now + wait >= request->request.deadline) {
+        finish(request, code);
+        return;
+    }
+    {
+        const std::lock_guard lock(m_parkMutex);
+        if (m_parked.size() < mostParked) {
+            m_parked.push_back({ request, now + wait, code });
+            return;
+        }
+    }
+    finish(request, code);
+}
+
+void entry_router::lost(const request_pointer &request, result_code code)
+{
+    request->mayHaveRun = true;
+    bool retry = !request->request.nonIdempotent && !request->callerGone.load();
+    if (retry) {
+        const std::lock_guard lock(m_budgetMutex);
+        retry = m_budget.spend();
+    }
+    if (!retry) {
+        finish(request, code);
+        return;
+    }
+    m_retries->add();
+    refused(request, code);
+}
+
+void entry_router::peerLost(const incarnation_id &peer)
+{
+    for (const pending_forward &forward : m_forwards.takeIf([&](const pending_forward &candidate) {
+             return candidate.home == peer;
+         })) {
+        outcome(forward, result_code::home_lost, nullptr);
+    }
+}
+
+void entry_router::routingChanged()
+{
+    m_undivided.update(*m_environment.routing->get(), wallNow());
+    unparkDue(true);
+}
+
+void entry_router::setAccepting(bool accept, result_code reason)
+{
+    m_refusal.store(static_cast<int>(accept ? result_code::ok : reason));
+}
+
+void entry_router::loadReported(const service_id &service, const server_id &server, std::uint32_t queued, std::uint32_t running)
+{
+    m_undivided.reported(service, server, queued, running);
+}
+
+std::size_t entry_router::openRequests() const
+{
+    return m_open.load(std::memory_order_relaxed);
+}
+
+void entry_router::giveUp()
+{
+    std::vector<parked_request> parked;
+    {
+        const std::lock_guard lock(m_parkMutex);
+        parked = std::exchange(m_parked, {});
+    }
+    for (const parked_request &each : parked) {
+        finish(each.request, result_code::instance_stopping);
+    }
+    for (const pending_forward &forward : m_forwards.takeIf([](const pending_forward &) {
+             return true;
+         })) {
+        cancelLost(forward);
+        finish(forward.request, result_code::deadline_while_running);
+    }
+}
+
+void entry_router::callerGone(const request_pointer &request)
+{
+    request->callerGone.store(true);
+    const std::optional<pending_forward> forward = m_forwards.take(request->forwardId.load());
+    if (forward) {
+        cancelLost(*forward);
+        if (!request->dividedByKey) {
+            m_undivided.finished(request->service, forward->server);
+        }
+        finish(request, result_code::deadline_while_running);
+    }
+}
+
+void entry_router::cancelLost(const pending_forward &forward)
+{
+    if (forward.home == m_environment.self) {
+        if (const auto home = m_environment.homes->find(forward.server)) {
+            home->cancel(m_environment.self, forward.forwardId);
+        }
+    } else if (const auto address = m_environment.peers->addressOf(forward.home)) {
+        m_environment.send(forward.home, *address, encodeCancel(forward.forwardId));
+    }
+}
+
+void entry_router::finish(const request_pointer &request, result_code code, const std::shared_ptr<const answer_payload> &answer)
+{
+    if (request->mayHaveRun && outcomeClass(code) == request_outcome_class::not_run) {
+        code = code == result_code::deadline_expired ? result_code::deadline_while_running : result_code::home_lost;
+    }
+    m_open.fetch_sub(1, std::memory_order_relaxed);
+    countResult(code);
+    constexpr double microsecondsPerSecond = 1e6;
+    m_latency->record(static_cast<double>((steadyNow() - request->arrived).count()) / microsecondsPerSecond);
+    const std::shared_ptr<answer_slot> slot = std::move(request->slot);
+    if (!answer) {
+        slot->answer(errorAnswer(code, request->request.requestId));
+        return;
+    }
+    http_response response = answer->response;
+    response.fields.push_back({ "Sycamoretray-Request-Id", request->request.requestId.value() });
+    response.fields.push_back({ "Sycamoretray-Outcome", "answered" });
+    slot->answer(std::move(response));
+}
+
+void entry_router::countResult(result_code code)
+{
+    const auto found = m_resultCounters.find(code);
+    if (found != m_resultCounters.end()) {
+        found->second->add();
+    }
+}
+
+void entry_router::unparkDue(bool all)
+{
+    const monotonic_time now = steadyNow();
+    std::vector<parked_request> due;
+    {
+        const std::lock_guard lock(m_parkMutex);
+        const auto firstDue = std::partition(m_parked.begin(), m_parked.end(), [&](const parked_request &parked) {
+            return !all && parked.notBefore > now;
+        });
+        due.assign(std::make_move_iterator(firstDue), std::make_move_iterator(m_parked.end()));
+        m_parked.erase(firstDue, m_parked.end());
+    }
+    for (const parked_request &parked : due) {
+        route(parked.request);
+    }
+}
+
+void entry_router::sweep()
+{
+    const monotonic_time now = steadyNow();
+    for (const pending_forward &forward : m_forwards.takeIf([&](const pending_forward &candidate) {
+             return candidate.request->request.deadline + overdueGrace <= now;
+         })) {
+        cancelLost(forward);
+        outcome(forward, result_code::deadline_while_running, nullptr);
+    }
+    loseSilentHomes(now);
+}
+
+void entry_router::loseSilentHomes(monotonic_time now)
+{
+    const std::vector<incarnation_id> silent = m_environment.peers->silentSince(silenceLimit, now);
+    if (silent.empty()) {
+        return;
+    }
+    const auto lostHome = [&](const pending_forward &candidate) {
+        return std::find(silent.begin(), silent.end(), candidate.home) != silent.end();
+    };
+    for (const pending_forward &forward : m_forwards.takeIf(lostHome)) {
+        outcome(forward, result_code::home_lost, nullptr);
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/home_dispatcher.cpp
@@ -0,0 +1,469 @@
+#include "sycamoretrayd/home_dispatcher.h"
+
+#include "executor/steady_time.h"
+#include "routing/hash_slots.h"
+#include "sycamoretrayd/payloads.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+constexpr std::uint32_t tickMilliseconds = 10;
+constexpr time_span hotKeyInterval = std::chrono::seconds(1);
+// Share of a server's requests from which a key is reported; the controller decides whether it is worth a move.
+constexpr double hotKeyShare = 1.0 / 32;
+// A server gets this long to answer after the deadline, because giving up frees a worker slot that is still in use.
+constexpr time_span answerGrace = std::chrono::seconds(1);
+
+dispatcher_settings settingsFor(const open_dispatch &open, const service_limits &limits)
+{
+    dispatcher_settings settings;
+    settings.workerSlots = open.endpoint.workerSlots;
+    settings.queuedRequests = limits.queuedRequests;
+    settings.queuedBytes = limits.queuedBytes;
+    settings.seed = open.term.value();
+    return settings;
+}
+
+server_client_settings clientSettingsFor(const open_dispatch &open, const service_limits &limits)
+{
+    server_client_settings settings;
+    settings.maxConnections = limits.connectionsPerEndpoint;
+    settings.workerSlots = open.endpoint.workerSlots;
+    return settings;
+}
+
+std::uint64_t bytesOf(const answer_payload &answer)
+{
+    std::uint64_t bytes = answer.response.body.size();
+    for (const http_field &field : answer.response.fields) {
+        bytes += field.name.size() + field.value.size();
+    }
+    return bytes;
+}
+
+// A planned move takes milliseconds; memory that arrived longer ago may miss what ran in between.
+constexpr time_span importedMemoryValid = std::chrono::seconds(10);
+
+} // namespace
+
+home_dispatcher::home_dispatcher(serial_executor executor,
+                                 home_environment environment,
+                                 const open_dispatch &open,
+                                 const service_id &service,
+                                 const service_limits &limits)
+    : m_executor(std::move(executor))
+    , m_environment(std::move(environment))
+    , m_server(open.server)
+    , m_service(service)
+    , m_term(open.term)
+    , m_client(m_executor, open.endpoint.address, clientSettingsFor(open, limits))
+    , m_dispatcher(settingsFor(open, limits), wallNow())
+    , m_hotKeys(open.server)
+    , m_ownedSlots(hashSlotCount, false)
+{
+    const auto table = m_environment.routing->get();
+    const routed_service *routed = table->findService(m_service);
+    m_dividedByKey = routed == nullptr || routed->service.dividedByKey;
+}
+
+home_dispatcher::~home_dispatcher() = default;
+
+void home_dispatcher::start()
+{
+    m_executor.dispatch([self = shared_from_this()] {
+        // What the server owned before this home took over is covered by the start time of the dispatcher.
+        const auto table = self->m_environment.routing->get();
+        std::vector<hash_slot> covered;
+        if (const routed_service *routed = table->findService(self->m_service)) {
+            self->noteOwnership(*routed, covered);
+        }
+        self->m_client.open();
+        self->armTick();
+    });
+}
+
+void home_dispatcher::submit(const forward_origin &origin, dispatch_request request)
+{
+    m_executor.dispatch([self = shared_from_this(), origin, request = std::move(request)]() mutable {
+        self->accept(origin, std::move(request));
+    });
+}
+
+void home_dispatcher::cancel(const incarnation_id &entry, std::uint64_t forwardId)
+{
+    m_executor.dispatch([self = shared_from_this(), entry, forwardId] {
+        const auto byEntry = self->m_byOrigin.find(entry);
+        if (byEntry == self->m_byOrigin.end()) {
+            return;
+        }
+        std::vector<dispatch_id> gone;
+        for (const auto &[id, dispatchId] : byEntry->second) {
+            if (forwardId == 0 || id == forwardId) {
+                gone.push_back(dispatchId);
+            }
+        }
+        for (const dispatch_id id : gone) {
+            self->handle(caller_gone{ id });
+        }
+    });
+}
+
+void home_dispatcher::setValidUntil(home_term term, monotonic_time validUntil)
+{
+    m_executor.dispatch([self = shared_from_this(), term, validUntil] {
+        if (!self->m_closed) {
+            self->handle(valid_until_changed{ term, validUntil });
+        }
+    });
+}
+
+void home_dispatcher::hold(operation_id operation, std::vector<hash_slot> slots)
+{
+    m_executor.dispatch([self = shared_from_this(), operation, slots = std::move(slots)]() mutable {
+        self->m_holdOperation = operation;
+        self->handle(slots_held{ std::move(slots) });
+    });
+}
+
+void home_dispatcher::release(std::vector<hash_slot> slots)
+{
+    m_executor.dispatch([self = shared_from_this(), slots = std::move(slots)]() mutable {
+        self->passKeysOn(slots);
+        self->handle(slots_released{ std::move(slots) });
+    });
+}
+
+void home_dispatcher::close(const incarnation_id &newHome)
+{
+    m_executor.dispatch([self = shared_from_this(), newHome] {
+        if (std::exchange(self->m_closed, true)) {
+            return;
+        }
+        self->handle(valid_until_changed{ self->m_term, monotonic_time{} });
+        const std::vector<dispatch_request> queued = self->m_dispatcher.takeQueued({});
+        self->passAllOn(newHome);
+        for (const dispatch_request &request : queued) {
+            self->finishAs(request.id, result_code::wrong_home);
+        }
+    });
+}
+
+void home_dispatcher::passAllOn(const incarnation_id &newHome)
+{
+    const auto table = m_environment.routing->get();
+    const routed_service *routed = table->findService(m_service);
+    if (newHome.value().empty() || routed == nullptr) {
+        return;
+    }
+    for (const server_route &route : routed->servers) {
+        if (route.endpoint.server == m_server && route.home == newHome) {
+            m_environment.transfer(route, {}, m_dispatcher.exportDuplicates({}));
+        }
+    }
+}
+
+void home_dispatcher::import(std::vector<hash_slot> slots, dispatch_transfer transfer)
+{
+    m_executor.dispatch([self = shared_from_this(), slots = std::move(slots), transfer = std::move(transfer)] {
+        dispatch_transfer merged = transfer;
+        for (const hash_slot slot : slots) {
+            if (self->m_ownedSlots[slot.value()]) {
+                // A hot key returns: what is known about the other keys of the slot does not reach further back than before.
+                merged.knownSince = std::max(merged.knownSince, self->m_dispatcher.exportDuplicates({ slot }).knownSince);
+            } else {
+                self->m_importedSlots[slot] = steadyNow();
+            }
+        }
+        self->m_dispatcher.importDuplicates(merged, slots);
+    });
+}
+
+void home_dispatcher::routingChanged()
+{
+    if (m_dividedByKey) {
+        m_executor.dispatch([self = shared_from_this()] {
+            self->updateGainedSlots();
+        });
+    }
+}
+
+void home_dispatcher::updateGainedSlots()
+{
+    const auto table = m_environment.routing->get();
+    const routed_service *routed = table->findService(m_service);
+    if (routed == nullptr || routed->slotOwner.empty()) {
+        return;
+    }
+    std::vector<hash_slot> gained;
+    noteOwnership(*routed, gained);
+    std::vector<hash_slot> unknown;
+    for (const hash_slot slot : gained) {
+        if (!wasImported(slot)) {
+            unknown.push_back(slot);
+        }
+    }
+    if (!unknown.empty()) {
+        dispatch_transfer nothing;
+        nothing.knownSince = wallNow();
+        m_dispatcher.importDuplicates(nothing, unknown);
+    }
+}
+
+bool home_dispatcher::wasImported(hash_slot slot)
+{
+    const auto found = m_importedSlots.find(slot);
+    if (found == m_importedSlots.end()) {
+        return false;
+    }
+    const bool recent = steadyNow() - found->second < importedMemoryValid;
+    m_importedSlots.erase(found);
+    return recent;
+}
+
+void home_dispatcher::noteOwnership(const routed_service &routed, std::vector<hash_slot> &gained)
+{
+    const auto isSelf = [&](std::uint16_t owner) {
+        return owner != routed_service::noOwner && routed.servers[owner].endpoint.server == m_server;
+    };
+    for (std::size_t slot = 0; slot < routed.slotOwner.size(); ++slot) {
+        const bool owned = isSelf(routed.slotOwner[slot]);
+        if (owned && !m_ownedSlots[slot]) {
+            gained.emplace_back(static_cast<std::uint16_t>(slot));
+        }
+        m_ownedSlots[slot] = owned;
+    }
+    std::set<std::string> extraKeys;
+    std::set<std::string> exceptKeys;
+    for (const auto &[key, owner] : routed.keyOwner) {
+        if (isSelf(owner)) {
+            extraKeys.insert(key);
+            if (!m_extraKeys.contains(key)) {
+                gained.push_back(slotOfKey(key));
+            }
+        } else if (isSelf(routed.slotOwner[slotOfKey(key).value()])) {
+            exceptKeys.insert(key);
+        }
+    }
+    for (const std::string &key : m_exceptKeys) {
+        if (!exceptKeys.contains(key) && m_ownedSlots[slotOfKey(key).value()]) {
+            gained.push_back(slotOfKey(key));
+        }
+    }
+    m_extraKeys = std::move(extraKeys);
+    m_exceptKeys = std::move(exceptKeys);
+}
+
+void home_dispatcher::reportCrashes(crashes_reported report)
+{
+    m_executor.dispatch([self = shared_from_this(), report] {
+        self->handle(report);
+    });
+}
+
+void home_dispatcher::dump(std::function<void(std::string)> done)
+{
+    m_executor.dispatch([self = shared_from_this(), done = std::move(done)] {
+        done(self->m_dispatcher.dump(steadyNow()));
+    });
+}
+
+bool home_dispatcher::ownsKey(const std::string &key) const
+{
+    if (!m_dividedByKey) {
+        return true;
+    }
+    const auto table = m_environment.routing->get();
+    const routed_service *routed = table->findService(m_service);
+    const server_route *owner = routed == nullptr ? nullptr : routing_table::findOwner(*routed, key);
+    return owner != nullptr && owner->endpoint.server == m_server;
+}
+
+void home_dispatcher::accept(const forward_origin &origin, dispatch_request request)
+{
+    if (m_closed || !ownsKey(request.key)) {
+        m_environment.answer(origin, result_code::wrong_home, nullptr);
+        return;
+    }
+    auto &byEntry = m_byOrigin[origin.entry];
+    request.id = dispatch_id(++m_lastId);
+    if (!byEntry.emplace(origin.forwardId, request.id).second) {
+        return;
+    }
+    if (m_dividedByKey) {
+        m_hotKeys.count(request.key, steadyNow());
+    }
+    m_pending.emplace(request.id, pending_request{ origin, request.requestId, request.key, request.slot, request.payload });
+    handle(std::move(request));
+    armTick();
+}
+
+void home_dispatcher::handle(dispatch_event event)
+{
+    std::vector<dispatch_action> actions = std::exchange(m_actions, {});
+    m_dispatcher.handle(std::move(event), steadyNow(), wallNow(), actions);
+    m_queued.store(m_dispatcher.queuedCount(), std::memory_order_relaxed);
+    m_running.store(m_dispatcher.runningCount(), std::memory_order_relaxed);
+    for (const dispatch_action &action : actions) {
+        execute(action);
+    }
+    actions.clear();
+    m_actions = std::move(actions);
+}
+
+void home_dispatcher::execute(const dispatch_action &action)
+{
+    if (const auto *send = std::get_if<send_request>(&action)) {
+        executeSend(*send);
+    } else if (const auto *cancel = std::get_if<cancel_request>(&action)) {
+        const auto found = m_pending.find(cancel->id);
+        if (found != m_pending.end()) {
+            m_client.cancel(found->second.requestId);
+        }
+    } else if (const auto *finish = std::get_if<finish_request>(&action)) {
+        executeFinish(*finish);
+    } else if (std::holds_alternative<held_slots_idle>(action)) {
+        if (m_holdOperation) {
+            m_environment.toController(dispatch_idle{ m_server, *std::exchange(m_holdOperation, std::nullopt) });
+        }
+    } else if (const auto *crash = std::get_if<report_crash>(&action)) {
+        m_environment.crashed(m_service, *crash);
+    }
+}
+
+void home_dispatcher::executeSend(const send_request &send)
+{
+    const auto found = m_pending.find(send.id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const pending_request &pending = found->second;
+    const server_request_fields fields{ pending.requestId, send.term, pending.slot, pending.key, send.timeLeft };
+    m_client.send(pending.payload->request, fields, send.timeLeft + answerGrace, [weak = weak_from_this(), id = send.id](attempt_result result) {
+        if (const auto self = weak.lock()) {
+            self->attemptEnded(id, std::move(result));
+        }
+    });
+}
+
+void home_dispatcher::attemptEnded(dispatch_id id, attempt_result result)
+{
+    switch (result.result) {
+    case attempt_result_class::answered: {
+        auto answer = std::make_shared<const answer_payload>(answer_payload{ std::move(result.answer) });
+        const std::uint64_t bytes = bytesOf(*answer);
+        handle(server_answered{ id, std::move(answer), bytes });
+        break;
+    }
+    case attempt_result_class::refused:
+        handle(server_refused{ id });
+        break;
+    case attempt_result_class::failed:
+        handle(attempt_failed{ id, result.sent, result.code });
+        break;
+    }
+}
+
+void home_dispatcher::executeFinish(const finish_request &finish)
+{
+    const auto found = m_pending.find(finish.id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const forward_origin origin = std::move(found->second.origin);
+    forget(origin, found);
+    m_environment.answer(origin, finish.code, finish.answer);
+}
+
+void home_dispatcher::forget(const forward_origin &origin, std::unordered_map<dispatch_id, pending_request>::iterator pending)
+{
+    m_pending.erase(pending);
+    const auto byEntry = m_byOrigin.find(origin.entry);
+    if (byEntry != m_byOrigin.end()) {
+        byEntry->second.erase(origin.forwardId);
+        if (byEntry->second.empty() && origin.entry != m_environment.self) {
+            m_byOrigin.erase(byEntry);
+        }
+    }
+}
+
+void home_dispatcher::finishAs(dispatch_id id, result_code code)
+{
+    executeFinish({ id, code, nullptr });
+}
+
+void home_dispatcher::passKeysOn(const std::vector<hash_slot> &slots)
+{
+    const auto table = m_environment.routing->get();
+    const routed_service *routed = table->findService(m_service);
+    std::vector<dispatch_request> queued = m_dispatcher.takeQueued(slots);
+    if (routed == nullptr || !m_dividedByKey || m_closed) {
+        resubmitOrRefuse(std::move(queued));
+        return;
+    }
+    // Slots by their new owner; a moved key is passed on with the memory of its slot.
+    std::unordered_map<server_id, std::vector<hash_slot>> moved;
+    for (const hash_slot slot : slots) {
+        const std::uint16_t owner = routed->slotOwner[slot.value()];
+        if (owner != routed_service::noOwner && routed->servers[owner].endpoint.server != m_server) {
+            moved[routed->servers[owner].endpoint.server].push_back(slot);
+        }
+    }
+    for (const auto &[key, owner] : routed->keyOwner) {
+        const hash_slot slot = slotOfKey(key);
+        const bool released = std::find(slots.begin(), slots.end(), slot) != slots.end();
+        if (released && routed->servers[owner].endpoint.server != m_server) {
+            moved[routed->servers[owner].endpoint.server].push_back(slot);
+        }
+    }
+    for (const server_route &route : routed->servers) {
+        const auto found = moved.find(route.endpoint.server);
+        if (found != moved.end() && !route.home.value().empty()) {
+            m_environment.transfer(route, found->second, m_dispatcher.exportDuplicates(found->second));
+        }
+    }
+    resubmitOrRefuse(std::move(queued));
+}
+
+void home_dispatcher::resubmitOrRefuse(std::vector<dispatch_request> requests)
+{
+    for (dispatch_request &request : requests) {
+        if (!m_closed && ownsKey(request.key)) {
+            handle(std::move(request));
+        } else {
+            finishAs(request.id, result_code::wrong_home);
+        }
+    }
+}
+
+void home_dispatcher::armTick()
+{
+    if (std::exchange(m_ticking, true)) {
+        return;
+    }
+    m_executor.repeat(tickMilliseconds, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && self->onTick();
+    });
+}
+
+bool home_dispatcher::onTick()
+{
+    handle(dispatch_tick{});
+    const monotonic_time now = steadyNow();
+    if (m_dividedByKey && now >= m_nextHotKeyReport) {
+        m_nextHotKeyReport = now + hotKeyInterval;
+        for (const hot_key_report &report : m_hotKeys.report(hotKeyShare, now)) {
+            m_environment.toController(report);
+        }
+    }
+    m_ticking = !m_pending.empty() || m_dispatcher.runningCount() > 0;
+    return m_ticking;
+}
+
+} // namespace sycamoretray
--- a/libs/controller/controller.cpp
+++ b/libs/controller/controller.cpp
@@ -333,4 +333,9 @@
     return d->context.state.position();
 }
 
+const configuration_set &controller::configuration() const
+{
+    return d->context.state.configuration();
+}
+
 } // namespace sycamoretray
--- a/libs/controller/controller.h
+++ b/libs/controller/controller.h
@@ -13,6 +13,8 @@
 namespace sycamoretray
 {
 
+class configuration_set;
+
 /** Times and bounds of the controller. docs/design.md, section 6, gives the reasons. */
 struct controller_timing {
     time_span leaseLength = std::chrono::milliseconds(400);
@@ -88,6 +90,9 @@
     /** The state reflects all records below this offset. */
     log_offset position() const;
 
+    /** The documents in force. Valid until the next handle(). */
+    const configuration_set &configuration() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> d;
--- a/libs/controller/home_claims.cpp
+++ b/libs/controller/home_claims.cpp
@@ -48,14 +48,14 @@
     });
 }
 
-std::vector<home_candidate> home_claims::candidates() const
+std::vector<ranked_instance> home_claims::candidates() const
 {
-    std::vector<home_candidate> result;
+    std::vector<ranked_instance> result;
     for (const auto &[incarnation, instance] : m_context.state.instances()) {
         if (!m_peers.candidate(incarnation)) {
             continue;
         }
-        home_candidate candidate{ incarnation, instance.zone, 0 };
+        ranked_instance candidate{ incarnation, instance.zone, 0 };
         for (const auto &[id, server] : m_context.state.servers()) {
             candidate.homes += server.home == incarnation ? 1 : 0;
         }
@@ -69,12 +69,12 @@
     if (m_free.empty()) {
         return;
     }
-    std::vector<home_candidate> instances = candidates();
+    std::vector<ranked_instance> instances = candidates();
     const time_span delay = m_peers.seesMajority() ? time_span(0) : minorityDelay;
     for (const auto &[id, since] : m_free) {
         const server_state &server = m_context.state.servers().at(id);
-        const std::vector<home_candidate> ranked = rankHomes(id, server.endpoint.zone, instances);
-        const auto own = std::find_if(ranked.begin(), ranked.end(), [this](const home_candidate &c) {
+        const std::vector<ranked_instance> ranked = rankHomes(id, server.endpoint.zone, instances);
+        const auto own = std::find_if(ranked.begin(), ranked.end(), [this](const ranked_instance &c) {
             return c.incarnation == m_context.self();
         });
         const time_span turn = delay + m_context.settings.timing.takeoverStep * (own - ranked.begin());
@@ -82,7 +82,7 @@
             claim(id, server.term);
         }
         // The next server's ranking counts this one as taken by the first in rank.
-        for (home_candidate &candidate : instances) {
+        for (ranked_instance &candidate : instances) {
             candidate.homes += !ranked.empty() && candidate.incarnation == ranked.front().incarnation ? 1 : 0;
         }
     }
--- a/libs/controller/home_claims.h
+++ b/libs/controller/home_claims.h
@@ -28,7 +28,7 @@
     void noteFreeServers();
     void claimInTurn();
     void claim(const server_id &server, home_term previous);
-    std::vector<home_candidate> candidates() const;
+    std::vector<ranked_instance> candidates() const;
 
     controller_context &m_context;
     const evidence_tracker &m_evidence;
--- a/libs/controller/home_handover.cpp
+++ b/libs/controller/home_handover.cpp
@@ -63,14 +63,14 @@
 
 incarnation_id home_handover::fewestHomes(const server_id &server) const
 {
-    std::vector<home_candidate> candidates;
+    std::vector<ranked_instance> candidates;
     for (const auto &[incarnation, homes] : homeCounts()) {
         if (incarnation != m_context.self()) {
-            candidates.push_back(home_candidate{ incarnation, m_context.state.instances().at(incarnation).zone, homes });
+            candidates.push_back(ranked_instance{ incarnation, m_context.state.instances().at(incarnation).zone, homes });
         }
     }
     const availability_zone &zone = m_context.state.servers().at(server).endpoint.zone;
-    const std::vector<home_candidate> ranked = rankHomes(server, zone, std::move(candidates));
+    const std::vector<ranked_instance> ranked = rankHomes(server, zone, std::move(candidates));
     return ranked.empty() ? incarnation_id() : ranked.front().incarnation;
 }
 
--- a/libs/placement/home_ranking.cpp
+++ b/libs/placement/home_ranking.cpp
@@ -8,13 +8,13 @@
 namespace sycamoretray
 {
 
-std::vector<home_candidate> rankHomes(const server_id &server, const availability_zone &serverZone, std::vector<home_candidate> candidates)
+std::vector<ranked_instance> rankHomes(const server_id &server, const availability_zone &serverZone, std::vector<ranked_instance> candidates)
 {
     const std::uint64_t serverHash = detail::placementHash(server.value(), 0);
-    const auto rank = [&](const home_candidate &c) {
+    const auto rank = [&](const ranked_instance &c) {
         return std::make_tuple(c.homes, c.zone == serverZone, detail::placementHash(c.incarnation.value(), serverHash), c.incarnation);
     };
-    std::sort(candidates.begin(), candidates.end(), [&rank](const home_candidate &a, const home_candidate &b) {
+    std::sort(candidates.begin(), candidates.end(), [&rank](const ranked_instance &a, const ranked_instance &b) {
         return rank(a) < rank(b);
     });
     return candidates;
--- a/libs/placement/home_ranking.h
+++ b/libs/placement/home_ranking.h
@@ -9,7 +9,7 @@
 {
 
 /** An instance that may become home of a server. */
-struct home_candidate {
+struct ranked_instance {
     incarnation_id incarnation;
     availability_zone zone;
     std::uint32_t homes = 0;
@@ -19,6 +19,6 @@
  * Returns the candidates in the order in which they may claim @p server: by number of homes, then those in another zone than
  * @p serverZone, then by rendezvous hash. Thread-safe.
  */
-std::vector<home_candidate> rankHomes(const server_id &server, const availability_zone &serverZone, std::vector<home_candidate> candidates);
+std::vector<ranked_instance> rankHomes(const server_id &server, const availability_zone &serverZone, std::vector<ranked_instance> candidates);
 
 } // namespace sycamoretray
