--- a/cmake/sycamoretray_targets.cmake
+++ b/cmake/sycamoretray_targets.cmake
@@ -2,9 +2,10 @@
 add_library(sycamoretray_options INTERFACE)
 target_compile_options(sycamoretray_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
 if(SYCAMORETRAY_SANITIZE)
-  # Boost.MSM and Beast trigger false maybe-uninitialized warnings in instrumented builds of g++ 12.
+  # Boost.MSM and Beast trigger false warnings about uninitialized variables in instrumented builds of g++ 12.
   target_compile_options(sycamoretray_options INTERFACE
-    -fsanitize=${SYCAMORETRAY_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer -Wno-maybe-uninitialized)
+    -fsanitize=${SYCAMORETRAY_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer
+    -Wno-maybe-uninitialized -Wno-uninitialized)
   target_link_options(sycamoretray_options INTERFACE -fsanitize=${SYCAMORETRAY_SANITIZE})
 endif()
 
@@ -33,6 +34,9 @@
   target_link_libraries(${ARG_NAME} PRIVATE sycamoretray_options ${ARG_LINK})
 endfunction()
 
+# Builds every unit test of the libraries, and nothing else; scripts/sanitize builds this target.
+add_custom_target(unit_tests)
+
 # sycamoretray_unit_test(NAME base_test SOURCES base_test.cpp LINK sycamoretray_base)
 #
 # Defines a Criterion test program and registers it with CTest.
@@ -40,6 +44,9 @@
   cmake_parse_arguments(ARG "" "NAME;TIMEOUT" "SOURCES;LINK" ${ARGN})
   add_executable(${ARG_NAME} ${ARG_SOURCES})
   target_link_libraries(${ARG_NAME} PRIVATE sycamoretray_options ${ARG_LINK} criterion::criterion)
+  if(CMAKE_CURRENT_SOURCE_DIR MATCHES "/tests/unit/")
+    add_dependencies(unit_tests ${ARG_NAME})
+  endif()
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
