--- /dev/null
+++ b/tests/harness/event_scheduler.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/monotonic_time.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace sycamoretray::harness
+{
+
+/**
+ * Runs functions in the order of virtual time; functions for the same time run in the order in which they were added.
+ *
+ * Thread safety: none; everything runs in the caller of runUntil().
+ */
+class event_scheduler
+{
+public:
+    /** True time, which no process of the harness can see. */
+    monotonic_time now() const noexcept;
+
+    void after(time_span delay, std::function<void()> function);
+
+    /** Runs everything up to @p end, then sets the time to @p end. */
+    void runUntil(monotonic_time end);
+
+private:
+    struct entry {
+        monotonic_time time;
+        std::uint64_t number = 0;
+        std::function<void()> function;
+        bool operator<(const entry &other) const
+        {
+            return time != other.time ? time > other.time : number > other.number;
+        }
+    };
+
+    monotonic_time m_now{ std::chrono::seconds(1) };
+    std::uint64_t m_number = 0;
+    std::priority_queue<entry> m_entries;
+};
+
+} // namespace sycamoretray::harness
--- /dev/null
+++ b/tests/harness/seeded_random.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/monotonic_time.h"
+
+#include <cstdint>
+#include <random>
+
+namespace sycamoretray::harness
+{
+
+/** All choices of a run come from one of these, so that the seed repeats the run. Thread safety: none. */
+class seeded_random
+{
+public:
+    explicit seeded_random(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+
+    /** Returns true with probability @p p. */
+    bool chance(double p)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_engine) < p;
+    }
+
+    double real(double low, double high)
+    {
+        return std::uniform_real_distribution<double>(low, high)(m_engine);
+    }
+
+    /** Returns a number from 0 to @p count - 1. Precondition: count > 0. */
+    std::size_t below(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_engine);
+    }
+
+    time_span span(time_span low, time_span high)
+    {
+        return time_span(std::uniform_int_distribution<time_span::rep>(low.count(), high.count())(m_engine));
+    }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+} // namespace sycamoretray::harness
