--- a/tests/harness/fault_injector.cpp
+++ b/tests/harness/fault_injector.cpp
@@ -42,8 +42,10 @@
     const double kind = m_cluster.random().real(0, 1);
     if (kind < 0.25) {
         injectInstanceFault();
-    } else if (kind < 0.5) {
+    } else if (kind < 0.45) {
         injectServerFault();
+    } else if (kind < 0.55) {
+        injectServerReplacement();
     } else if (kind < 0.7) {
         injectPartition();
     } else if (kind < 0.88) {
@@ -141,6 +143,37 @@
     });
 }
 
+/** Replaces a paused server at once, sometimes while its home is cut off from everything but the servers and is taken over. */
+void fault_injector::injectServerReplacement()
+{
+    seeded_random &random = m_cluster.random();
+    const std::size_t index = random.below(m_cluster.servers().size());
+    if (!m_cluster.servers()[index].endpoint.checksTokens) {
+        return;
+    }
+    time_span delay{};
+    for (const auto &host : m_cluster.hosts()) {
+        if (host->alive() && host->dispatches().contains(m_cluster.servers()[index].endpoint.server) && random.chance(0.5)) {
+            const std::string home = host->settings().instance.value();
+            std::vector<std::string> others{ "log", "list" };
+            for (std::size_t i = 0; i < m_instanceCount; ++i) {
+                others.push_back("i" + std::to_string(i));
+            }
+            std::erase(others, home);
+            m_cluster.trace("cut off " + home + " from the log and all instances");
+            blockFor({ home }, others, true);
+            // Suspicion and claim take about half a second, and the last lease ends 0.7 s after the cut.
+            delay = random.span(400ms, 700ms);
+        }
+    }
+    m_cluster.scheduler().after(delay, [this, index, round = m_round] {
+        if (round == m_round && m_cluster.servers()[index].process) {
+            m_cluster.killServer(index, true);
+            m_cluster.startServer(index);
+        }
+    });
+}
+
 std::vector<std::string> fault_injector::everyoneBut(std::size_t zone) const
 {
     std::vector<std::string> names{ "log", "list" };
--- a/tests/harness/fault_injector.h
+++ b/tests/harness/fault_injector.h
@@ -25,6 +25,7 @@
     void injectOne();
     void injectInstanceFault();
     void injectServerFault();
+    void injectServerReplacement();
     void injectPartition();
     void injectLogFault();
     void injectOperatorAction();
