Let the fake dispatcher wait for requests that are under way

The trace shows a planned move during a network delay of up to 150 ms: the fake answered dispatch_idle while its own requests were still under way, which a dispatcher does not do.

Now dispatch_idle waits for them.

--- a/tests/harness/fake_network.cpp
+++ b/tests/harness/fake_network.cpp
@@ -1,5 +1,7 @@
 #include "fake_network.h"
 
+#include <algorithm>
+
 namespace sycamoretray::harness
 {
 
@@ -11,16 +13,19 @@
 {
 }
 
-void fake_network::send(const std::string &from, const std::string &to, const std::function<void()> &deliver, bool mayDuplicate)
+time_span fake_network::send(const std::string &from, const std::string &to, const std::function<void()> &deliver, bool mayDuplicate)
 {
     const int copies = mayDuplicate && m_random.chance(m_faults.duplication) ? 2 : 1;
+    time_span last{};
     for (int i = 0; i < copies; ++i) {
         const bool lost = !connected(from, to) || m_random.chance(m_faults.loss);
         const time_span delay = m_random.span(300us, 1200us) + m_random.span(0us, m_faults.extraDelay);
         if (!lost) {
             m_scheduler.after(delay, deliver);
+            last = std::max(last, delay);
         }
     }
+    return last;
 }
 
 bool fake_network::connected(const std::string &from, const std::string &to) const
--- a/tests/harness/fake_network.h
+++ b/tests/harness/fake_network.h
@@ -24,8 +24,8 @@
 public:
     fake_network(event_scheduler &scheduler, seeded_random &random);
 
-    /** Runs @p deliver at the receiver, unless the message is lost; twice if it is duplicated. */
-    void send(const std::string &from, const std::string &to, const std::function<void()> &deliver, bool mayDuplicate);
+    /** Runs @p deliver at the receiver, unless the message is lost; twice if it is duplicated. Returns the delay of the last copy. */
+    time_span send(const std::string &from, const std::string &to, const std::function<void()> &deliver, bool mayDuplicate);
 
     bool connected(const std::string &from, const std::string &to) const;
 
--- a/tests/harness/simulated_cluster.cpp
+++ b/tests/harness/simulated_cluster.cpp
@@ -334,7 +334,9 @@
 
 void simulated_cluster::performOne(instance_host &host, const hold_slots &action)
 {
-    m_scheduler.after(m_random.span(100us, 4ms), [self = host.shared_from_this(), action] {
+    // A dispatcher is idle only after the requests that it has sent have arrived.
+    const time_span inFlight = m_lastArrival[{ host.settings().incarnation, action.server }] - m_scheduler.now();
+    m_scheduler.after(std::max(inFlight, time_span(0)) + m_random.span(100us, 4ms), [self = host.shared_from_this(), action] {
         self->deliver(dispatch_idle{ action.server, action.operation });
     });
 }
@@ -388,7 +390,9 @@
                 }
             };
             if (slots.any()) {
-                m_network.send(host->settings().instance.value(), server.value(), deliver, false);
+                const time_span delay = m_network.send(host->settings().instance.value(), server.value(), deliver, false);
+                monotonic_time &arrival = m_lastArrival[{ host->settings().incarnation, server }];
+                arrival = std::max(arrival, m_scheduler.now() + delay);
             }
         }
     }
--- a/tests/harness/simulated_cluster.h
+++ b/tests/harness/simulated_cluster.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -126,6 +127,8 @@
     std::vector<server_host> m_servers;
     std::vector<listed_instance> m_listed;
     std::vector<std::pair<monotonic_time, std::vector<listed_instance>>> m_listHistory;
+    /** When the last request that a home sent to a server that checks nothing arrives. */
+    std::map<std::pair<incarnation_id, server_id>, monotonic_time> m_lastArrival;
     std::uint64_t m_incarnations = 0;
     std::uint64_t m_boots = 0;
 };
