--- a/tests/harness/harness_test.cpp
+++ b/tests/harness/harness_test.cpp
@@ -83,3 +83,10 @@
         }
     }
 }
+
+// Guards against a checker that cannot fail: leases that ignore clock drift, and a takeover without its wait, give two owners.
+Test(ownership_harness, deliberate_defects_are_noticed)
+{
+    cr_expect_not(exploreSeed(5, faultNamed("no_drift_margin"), {}).violations.empty());
+    cr_expect_not(exploreSeed(12, faultNamed("takeover_without_wait"), {}).violations.empty());
+}
