Close connections of a stopping instance without losing requests; keep ids apart in services not divided by key

A stopping instance reset connections that waited to be accepted, and closed idle ones while callers used them. It now takes what waits, closes the listener, and ends when callers have closed their connections or after 2 s.

Homes of services not divided by key treat ids from before their server came back as unknown, so that entries need no guard for servers that are available.

--- a/apps/sycamoretrayd/entry_router.cpp
+++ b/apps/sycamoretrayd/entry_router.cpp
@@ -2,6 +2,7 @@
 
 #include "executor/steady_time.h"
 #include "http_entry/error_answer.h"
+#include "observability/event_log.h"
 #include "sycamoretrayd/forward_codec.h"
 #include "sycamoretrayd/payloads.h"
 #include "sycamoretrayd/request_admission.h"
@@ -212,6 +213,13 @@
     if (!request->dividedByKey) {
         m_undivided.finished(request->service, forward.server);
     }
+    if (outcomeClass(code) == request_outcome_class::unknown) {
+        logEvent(event_severity::warning, "outcome_unknown", { { "code", std::string(resultName(code)) },
+                                                               { "server", forward.server.value() },
+                                                               { "home", forward.home.value() },
+                                                               { "slot", std::to_string(request->request.slot.value()) },
+                                                               { "request_id", request->request.requestId.value() } });
+    }
     if (code == result_code::ok && answer) {
         finish(request, code, answer);
     } else if (isCuredByRouting(code)) {
--- a/apps/sycamoretrayd/home_dispatcher.cpp
+++ b/apps/sycamoretrayd/home_dispatcher.cpp
@@ -82,6 +82,7 @@
         std::vector<hash_slot> covered;
         if (const routed_service *routed = table->findService(self->m_service)) {
             self->noteOwnership(*routed, covered);
+            self->noteAvailability(*routed);
         }
         self->m_client.open();
         self->armTick();
@@ -186,18 +187,24 @@
 
 void home_dispatcher::routingChanged()
 {
-    if (m_dividedByKey) {
-        m_executor.dispatch([self = shared_from_this()] {
-            self->updateGainedSlots();
-        });
-    }
+    m_executor.dispatch([self = shared_from_this()] {
+        self->updateGainedSlots();
+    });
 }
 
 void home_dispatcher::updateGainedSlots()
 {
     const auto table = m_environment.routing->get();
     const routed_service *routed = table->findService(m_service);
-    if (routed == nullptr || routed->slotOwner.empty()) {
+    if (routed == nullptr) {
+        return;
+    }
+    if (!m_dividedByKey) {
+        const bool wasAvailable = m_available;
+        noteAvailability(*routed);
+        if (m_available && !wasAvailable) {
+            forgetBefore({ hash_slot(0) });
+        }
         return;
     }
     std::vector<hash_slot> gained;
@@ -209,12 +216,24 @@
         }
     }
     if (!unknown.empty()) {
-        dispatch_transfer nothing;
-        nothing.knownSince = wallNow();
-        m_dispatcher.importDuplicates(nothing, unknown);
+        forgetBefore(unknown);
     }
 }
 
+void home_dispatcher::forgetBefore(const std::vector<hash_slot> &slots)
+{
+    dispatch_transfer nothing;
+    nothing.knownSince = wallNow();
+    m_dispatcher.importDuplicates(nothing, slots);
+}
+
+void home_dispatcher::noteAvailability(const routed_service &routed)
+{
+    m_available = std::any_of(routed.servers.begin(), routed.servers.end(), [&](const server_route &route) {
+        return route.endpoint.server == m_server && route.up && !route.draining;
+    });
+}
+
 bool home_dispatcher::wasImported(hash_slot slot)
 {
     const auto found = m_importedSlots.find(slot);
--- a/apps/sycamoretrayd/home_dispatcher.h
+++ b/apps/sycamoretrayd/home_dispatcher.h
@@ -129,6 +129,9 @@
     void resubmitOrRefuse(std::vector<dispatch_request> requests);
     void updateGainedSlots();
     void noteOwnership(const routed_service &routed, std::vector<hash_slot> &gained);
+    /** Marks ids for these slots from before now as unknown. */
+    void forgetBefore(const std::vector<hash_slot> &slots);
+    void noteAvailability(const routed_service &routed);
     bool wasImported(hash_slot slot);
     void armTick();
     bool onTick();
@@ -153,6 +156,8 @@
     /** Hot keys that were served by this server, and those of its slots that were served elsewhere, in the last routing table. */
     std::set<std::string> m_extraKeys;
     std::set<std::string> m_exceptKeys;
+    /** Whether entries chose this server in the last routing table; for services not divided by key. */
+    bool m_available = false;
     bool m_closed = false;
     bool m_ticking = false;
     std::vector<dispatch_action> m_actions;
--- a/apps/sycamoretrayd/instance_daemon.cpp
+++ b/apps/sycamoretrayd/instance_daemon.cpp
@@ -31,6 +31,11 @@
 constexpr std::uint32_t stopPollMilliseconds = 20;
 /** After the last answer, connections get this long to take it. */
 constexpr time_span flushTime = std::chrono::milliseconds(200);
+/**
+ * Callers that keep connections open are told to use another instance with the answer to their next request. Connections
+ * that are idle for longer than this are closed.
+ */
+constexpr time_span keepAliveTime = std::chrono::seconds(2);
 
 controller_settings controllerSettings(const daemon_settings &settings, const incarnation_id &incarnation)
 {
@@ -284,8 +289,10 @@
         idleSince = now;
         entry->giveUp();
         control->unregister([] {});
+        callerServer->stopListening();
     }
-    if (now - idleSince >= flushTime) {
+    const bool callersGone = callerServer->connections() == 0 || now - idleSince >= keepAliveTime;
+    if (now - idleSince >= flushTime && callersGone) {
         logEvent("stopped", { { "open_requests", std::to_string(entry->openRequests()) } });
         workers.stop();
         controlContext.stop();
--- a/apps/sycamoretrayd/undivided_chooser.cpp
+++ b/apps/sycamoretrayd/undivided_chooser.cpp
@@ -50,12 +50,12 @@
     std::sort(ranked.rbegin(), ranked.rend());
     for (const auto &[score, server] : ranked) {
         const server_availability &availability = service.servers.at(*server);
-        if (availability.changed + changeMargin >= request.created) {
-            return { availability.available ? result_code::request_id_before_takeover : result_code::no_owner, {} };
-        }
         if (availability.available) {
             return { result_code::ok, *server };
         }
+        if (availability.changed + changeMargin >= request.created) {
+            return {};
+        }
     }
     return {};
 }
--- a/apps/sycamoretrayd/undivided_chooser.h
+++ b/apps/sycamoretrayd/undivided_chooser.h
@@ -15,9 +15,9 @@
  * Chooses the server for a request of a service that is not divided by key.
  *
  * Most requests go to the less loaded of two servers. Non-idempotent requests with an id of the caller go to the server that
- * rendezvous hashing of the id gives, because only that server's home recognizes a repetition. If one of the servers that
- * come first for the id went up or down after the id was created, the repetition could reach another home than the first
- * request did; then the choice fails.
+ * rendezvous hashing of the id gives, because only that server's home recognizes a repetition. The next server is chosen in
+ * place of one that is not available, but only for ids created after that server went away: older ones may have run there.
+ * A home treats ids from before its server came back as unknown, which covers the opposite change.
  *
  * Thread safety: any thread.
  */
--- a/libs/http_entry/http_server.cpp
+++ b/libs/http_entry/http_server.cpp
@@ -123,7 +123,10 @@
 
     void accepted(const boost::system::error_code &error, http_session::socket_type socket)
     {
-        if (stopped) {
+        if (stopped || !acceptor.is_open()) {
+            if (!error && !stopped) {
+                addSession(std::move(socket));
+            }
             return;
         }
         if (error) {
@@ -137,9 +140,7 @@
             return;
         }
         if (environment->connections.load(std::memory_order_relaxed) < environment->settings.maxConnections) {
-            auto session = std::make_shared<http_session>(std::move(socket), environment);
-            sessions.push_back(session);
-            session->start();
+            addSession(std::move(socket));
         } else {
             logEvent(event_severity::warning, "connection_refused", { { "limit", std::to_string(environment->settings.maxConnections) } });
         }
@@ -166,6 +167,28 @@
         });
     }
 
+    /** Takes the connections that wait to be accepted, because closing the listener would reset them. */
+    void closeListener()
+    {
+        boost::system::error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error && acceptor.is_open()) {
+            http_session::socket_type socket(boost::asio::make_strand(*context));
+            acceptor.accept(socket, error);
+            if (!error) {
+                addSession(std::move(socket));
+            }
+        }
+        acceptor.close(error);
+    }
+
+    void addSession(http_session::socket_type socket)
+    {
+        auto session = std::make_shared<http_session>(std::move(socket), environment);
+        sessions.push_back(session);
+        session->start();
+    }
+
     void stopOnStrand()
     {
         stopped = true;
@@ -214,6 +237,13 @@
     d->environment->closeAfterAnswer.store(true);
 }
 
+void http_server::stopListening()
+{
+    boost::asio::dispatch(d->strand, [impl = d] {
+        impl->closeListener();
+    });
+}
+
 void http_server::stop()
 {
     boost::asio::dispatch(d->strand, [impl = d] {
--- a/libs/http_entry/http_server.h
+++ b/libs/http_entry/http_server.h
@@ -93,6 +93,9 @@
     /** Connections are closed after their next answer, so that callers turn to another instance. */
     void closeAfterAnswer();
 
+    /** Stops listening. Connections that callers have opened before are still accepted and served. */
+    void stopListening();
+
     /** Stops listening and closes all connections. */
     void stop();
 
