Choose homes by short and long requests separately

Load reports count long requests by longCount(). A home that becomes available again no longer takes every tie until it has caught up.

--- a/libs/dispatch/home_chooser.cpp
+++ b/libs/dispatch/home_chooser.cpp
@@ -24,6 +24,16 @@
 /** Choices per worker slot below which an excess is within the noise. */
 constexpr double fewChoices = 10;
 
+double medianOf(std::vector<double> values)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 } // namespace
 
 home_chooser::home_chooser(std::uint64_t seed)
@@ -35,21 +45,21 @@
 {
     std::vector<home> homes;
     std::unordered_map<server_id, std::size_t> index;
-    double leastChoices = 0;
-    if (!m_homes.empty()) {
-        leastChoices = std::min_element(m_homes.begin(), m_homes.end(), [](const home &a, const home &b) {
-                           return a.recentChoices < b.recentChoices;
-                       })->recentChoices;
+    std::array<double, 2> fewest{ medianChoices(false), medianChoices(true) };
+    for (const std::size_t position : m_available) {
+        for (const bool isLong : { false, true }) {
+            fewest[isLong] = std::min(fewest[isLong], m_homes[position].shares[isLong].recentChoices);
+        }
     }
     m_available.clear();
     for (const home_candidate &candidate : candidates) {
         const auto known = m_index.find(candidate.server);
-        home next;
-        if (known != m_index.end()) {
-            next = m_homes[known->second];
-        } else {
-            // A new home must not take every tie until it has caught up.
-            next.recentChoices = leastChoices;
+        home next = known == m_index.end() ? home{} : m_homes[known->second];
+        if (known == m_index.end() || !next.candidate.available) {
+            // A home that is new or back must not take every tie until it has caught up.
+            for (const bool isLong : { false, true }) {
+                next.shares[isLong].recentChoices = std::max(next.shares[isLong].recentChoices, fewest[isLong]);
+            }
         }
         next.candidate = candidate;
         if (candidate.available) {
@@ -60,42 +70,48 @@
     }
     m_homes = std::move(homes);
     m_index = std::move(index);
-    m_medianChoices = medianOf([](const home &each) {
-        return each.recentChoices;
-    });
+    m_medianChoices = { medianChoices(false), medianChoices(true) };
 }
 
-double home_chooser::load(const home &each) const
+double home_chooser::load(const home &each, bool isLong) const
 {
-    const double perSlot = (each.inFlight + each.reportedByOthers) / std::max(1U, each.candidate.workerSlots);
-    return perSlot + excessPenalty * std::max(0.0, each.recentChoices / std::max(fewChoices, m_medianChoices) - 1);
+    const share &own = each.shares[isLong];
+    const double forLong = std::max(1.0, each.slots() - 1);
+    const double slots = isLong ? forLong : std::max(1.0, each.slots() - std::min(forLong, each.shares[1].requests()));
+    const double excess = own.recentChoices / std::max(fewChoices, m_medianChoices[isLong]) - 1;
+    return (own.requests() + 1) / slots + excessPenalty * std::max(0.0, excess);
 }
 
-bool home_chooser::isBetter(const home &a, const home &b) const
+bool home_chooser::isBetter(const home &a, const home &b, bool isLong) const
 {
-    const double difference = load(a) - load(b);
+    const double difference = load(a, isLong) - load(b, isLong);
     if (std::abs(difference) >= equalLoad) {
         return difference < 0;
     }
-    return a.recentChoices < b.recentChoices;
+    return a.shares[isLong].recentChoices < b.shares[isLong].recentChoices;
+}
+
+home_chooser::home &home_chooser::drawBetter(bool isLong)
+{
+    const std::size_t count = m_available.size();
+    const std::size_t first = std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+    home &a = m_homes[m_available[first]];
+    if (count == 1) {
+        return a;
+    }
+    const std::size_t other = std::uniform_int_distribution<std::size_t>(0, count - 2)(m_random);
+    home &b = m_homes[m_available[other < first ? other : other + 1]];
+    return isBetter(a, b, isLong) ? a : b;
 }
 
-std::optional<server_id> home_chooser::choose()
+std::optional<server_id> home_chooser::choose(bool isLong)
 {
     if (m_available.empty()) {
         return std::nullopt;
     }
-    std::uniform_int_distribution<std::size_t> draw(0, m_available.size() - 1);
-    const std::size_t first = draw(m_random);
-    std::size_t second = m_available.size() > 1 ? std::uniform_int_distribution<std::size_t>(0, m_available.size() - 2)(m_random) : first;
-    if (m_available.size() > 1 && second >= first) {
-        ++second;
-    }
-    home &a = m_homes[m_available[first]];
-    home &b = m_homes[m_available[second]];
-    home &chosen = isBetter(a, b) ? a : b;
-    ++chosen.inFlight;
-    chosen.recentChoices += 1.0 / std::max(1U, chosen.candidate.workerSlots);
+    home &chosen = drawBetter(isLong);
+    ++chosen.shares[isLong].inFlight;
+    chosen.shares[isLong].recentChoices += 1 / chosen.slots();
     countChoice();
     return chosen.candidate.server;
 }
@@ -106,55 +122,60 @@
     if (m_choices >= choicesPerDecay * m_homes.size()) {
         m_choices = 0;
         for (home &each : m_homes) {
-            each.recentChoices /= 2;
+            for (share &part : each.shares) {
+                part.recentChoices /= 2;
+            }
         }
     }
     if (m_choices % m_available.size() == 0) {
-        m_medianChoices = medianOf([](const home &each) {
-            return each.recentChoices;
-        });
+        m_medianChoices = { medianChoices(false), medianChoices(true) };
     }
 }
 
-void home_chooser::finished(const server_id &server)
+void home_chooser::finished(const server_id &server, bool isLong)
 {
     const auto found = m_index.find(server);
-    if (found != m_index.end() && m_homes[found->second].inFlight > 0) {
-        --m_homes[found->second].inFlight;
+    if (found != m_index.end() && m_homes[found->second].shares[isLong].inFlight > 0) {
+        --m_homes[found->second].shares[isLong].inFlight;
     }
 }
 
-double home_chooser::medianOf(double (*value)(const home &)) const
+double home_chooser::medianReport(bool isLong) const
 {
     std::vector<double> values;
-    values.reserve(m_available.size());
     for (const std::size_t position : m_available) {
-        values.push_back(value(m_homes[position]));
+        values.push_back(m_homes[position].shares[isLong].lastReport / m_homes[position].slots());
     }
-    if (values.empty()) {
-        return 0;
+    return medianOf(std::move(values));
+}
+
+double home_chooser::medianChoices(bool isLong) const
+{
+    std::vector<double> values;
+    for (const std::size_t position : m_available) {
+        values.push_back(m_homes[position].shares[isLong].recentChoices);
     }
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
+    return medianOf(std::move(values));
 }
 
-void home_chooser::reported(const server_id &server, std::uint32_t queued, std::uint32_t running)
+void home_chooser::reported(const server_id &server, const home_load &load)
 {
     const auto found = m_index.find(server);
-    if (found == m_index.end()) {
-        return;
+    if (found != m_index.end()) {
+        believe(m_homes[found->second], false, load.shortRequests);
+        believe(m_homes[found->second], true, load.longRequests);
     }
-    home &each = m_homes[found->second];
-    each.lastReport = static_cast<double>(queued) + running;
-    const double slots = std::max(1U, each.candidate.workerSlots);
-    const double median = slots * medianOf([](const home &other) {
-                              return other.lastReport / std::max(1U, other.candidate.workerSlots);
-                          });
+}
+
+void home_chooser::believe(home &each, bool isLong, std::uint32_t requests)
+{
+    share &part = each.shares[isLong];
+    part.lastReport = requests;
+    const double median = medianReport(isLong) * each.slots();
     // The bounds keep the effect of one false report below equalLoad; a lasting difference still adds up to more.
-    const double believed = std::clamp(each.lastReport, median / 2, median * 1.5 + slots / 2);
-    const double others = std::max(0.0, believed - each.inFlight);
-    each.reportedByOthers += reportWeight * (others - each.reportedByOthers);
+    const double believed = std::clamp(part.lastReport, median / 2, median * 1.5 + each.slots() / 2);
+    const double others = std::max(0.0, believed - part.inFlight);
+    part.reportedByOthers += reportWeight * (others - part.reportedByOthers);
 }
 
 } // namespace sycamoretray
--- a/libs/dispatch/server_dispatcher.cpp
+++ b/libs/dispatch/server_dispatcher.cpp
@@ -93,6 +93,15 @@
     return d->slots.runningCount();
 }
 
+std::uint32_t server_dispatcher::longCount() const noexcept
+{
+    const pending_list &running = d->slots.running();
+    const auto runningLong = std::count_if(running.begin(), running.end(), [](const pending_request &each) {
+        return each.isLong;
+    });
+    return static_cast<std::uint32_t>(d->backlog.queue(true).size()) + static_cast<std::uint32_t>(runningLong);
+}
+
 std::string server_dispatcher::dump(monotonic_time now) const
 {
     const bool valid = now < d->validUntil;
--- a/libs/dispatch/server_dispatcher.h
+++ b/libs/dispatch/server_dispatcher.h
@@ -221,6 +221,8 @@
 
     std::uint32_t queuedCount() const noexcept;
     std::uint32_t runningCount() const noexcept;
+    /** Requests of long classes among the queued and the running ones, for load reports. */
+    std::uint32_t longCount() const noexcept;
 
     /** Returns the state as JSON text, for the dump. */
     std::string dump(monotonic_time now) const;
--- a/tests/measure_dispatch/endpoint_policy.h
+++ b/tests/measure_dispatch/endpoint_policy.h
@@ -13,9 +13,9 @@
     endpoint_policy(const endpoint_policy &) = delete;
     endpoint_policy &operator=(const endpoint_policy &) = delete;
     virtual ~endpoint_policy() = default;
-    virtual std::size_t choose() = 0;
-    virtual void finished(std::size_t server) = 0;
-    virtual void reported(std::size_t server, std::uint32_t queued, std::uint32_t running) = 0;
+    virtual std::size_t choose(bool isLong) = 0;
+    virtual void finished(std::size_t server, bool isLong) = 0;
+    virtual void reported(std::size_t server, const home_load &load) = 0;
 };
 
 /** The policy of the system: home_chooser. */
@@ -31,17 +31,17 @@
         }
         m_chooser.setCandidates(candidates);
     }
-    std::size_t choose() override
+    std::size_t choose(bool isLong) override
     {
-        return std::stoul(m_chooser.choose()->value());
+        return std::stoul(m_chooser.choose(isLong)->value());
     }
-    void finished(std::size_t server) override
+    void finished(std::size_t server, bool isLong) override
     {
-        m_chooser.finished(server_id(std::to_string(server)));
+        m_chooser.finished(server_id(std::to_string(server)), isLong);
     }
-    void reported(std::size_t server, std::uint32_t queued, std::uint32_t running) override
+    void reported(std::size_t server, const home_load &load) override
     {
-        m_chooser.reported(server_id(std::to_string(server)), queued, running);
+        m_chooser.reported(server_id(std::to_string(server)), load);
     }
 
 private:
--- a/tests/measure_dispatch/least_connections_policy.cpp
+++ b/tests/measure_dispatch/least_connections_policy.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-std::size_t least_connections_policy::choose()
+std::size_t least_connections_policy::choose(bool /*isLong*/)
 {
     const std::uint32_t fewest = *std::min_element(m_inFlight.begin(), m_inFlight.end());
     std::vector<std::size_t> ties;
@@ -25,12 +25,12 @@
     return chosen;
 }
 
-void least_connections_policy::finished(std::size_t server)
+void least_connections_policy::finished(std::size_t server, bool /*isLong*/)
 {
     --m_inFlight[server];
 }
 
-void least_connections_policy::reported(std::size_t /*server*/, std::uint32_t /*queued*/, std::uint32_t /*running*/)
+void least_connections_policy::reported(std::size_t /*server*/, const home_load & /*load*/)
 {
 }
 
--- a/tests/measure_dispatch/least_connections_policy.h
+++ b/tests/measure_dispatch/least_connections_policy.h
@@ -13,9 +13,9 @@
 {
 public:
     least_connections_policy(std::size_t servers, std::uint64_t seed);
-    std::size_t choose() override;
-    void finished(std::size_t server) override;
-    void reported(std::size_t server, std::uint32_t queued, std::uint32_t running) override;
+    std::size_t choose(bool isLong) override;
+    void finished(std::size_t server, bool isLong) override;
+    void reported(std::size_t server, const home_load &load) override;
 
 private:
     std::vector<std::uint32_t> m_inFlight;
--- a/tests/measure_dispatch/load_measurements.cpp
+++ b/tests/measure_dispatch/load_measurements.cpp
@@ -29,6 +29,8 @@
 
 struct mix {
     std::size_t servers = 1;
+    /** Worker slots of each server; the arrivals are those for three. */
+    std::uint32_t workerSlots = slots;
     double spread = 0.2;
     policy_factory policy;
 };
@@ -54,11 +56,12 @@
     }
     service_options options;
     options.servers = setup.servers;
+    options.slots = setup.workerSlots;
     options.dispatch = setup.policy;
     if (setup.servers > 1) {
         options.entries = 8;
         options.choose = [&setup, seed](std::size_t entry) {
-            return std::make_unique<home_chooser_policy>(setup.servers, slots, seed * 100 + entry);
+            return std::make_unique<home_chooser_policy>(setup.servers, setup.workerSlots, seed * 100 + entry);
         };
     }
     const auto calls = script.build();
@@ -89,30 +92,60 @@
     return percentile99(beside) / percentile99(alone);
 }
 
+measurement_row shortRow(short_load reference, std::size_t servers, double spread, std::uint64_t seeds)
+{
+    std::uint64_t requests = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t ignored = 0;
+    const double ratio = shortRatio({ servers, slots, spread, dispatcherPolicy(slots) }, reference, seeds, requests, refused);
+    const double baseline = shortRatio({ servers, slots, spread, firstComePolicy(slots) }, reference, seeds, ignored, ignored);
+    const bool strict = reference == short_load::alone;
+    measurement_row row;
+    row.measure = strict ? "p99 of short requests beside long ones / the same short requests alone"
+                         : "p99 of short requests beside long ones / short requests alone at 70 % load";
+    row.target = strict ? "<= 1.3" : "-";
+    row.value = ratio;
+    row.unit = "ratio";
+    row.baseline = "first come first served";
+    row.baselineValue = baseline;
+    row.seeds = seeds;
+    row.requests = requests;
+    row.conditions = std::to_string(servers) + " server(s) of 3 worker slots, run times +-" + std::to_string(static_cast<int>(spread * 100))
+        + " %, short requests refused: " + std::to_string(refused);
+    return row;
+}
+
+/** The short requests alone on the one worker slot that two long requests leave, against the same ones on three. */
+measurement_row oneSlotRow(double spread, std::uint64_t seeds)
+{
+    std::vector<double> onThree;
+    std::vector<double> onOne;
+    std::uint64_t requests = 0;
+    std::uint64_t ignored = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        appendShortTimes({ 1, slots, spread, firstComePolicy(slots) }, short_load::alone, seed, onThree, requests, ignored);
+        appendShortTimes({ 1, 1, spread, firstComePolicy(1) }, short_load::alone, seed, onOne, ignored, ignored);
+    }
+    measurement_row row;
+    row.measure = "reference: p99 of the short requests alone on one worker slot / on three";
+    row.target = "-";
+    row.value = percentile99(onOne) / percentile99(onThree);
+    row.unit = "ratio";
+    row.seeds = seeds;
+    row.requests = requests;
+    row.conditions = "first come first served, run times +-" + std::to_string(static_cast<int>(spread * 100)) + " %";
+    return row;
+}
+
 std::vector<measurement_row> shortBesideLong(std::uint64_t seeds)
 {
     std::vector<measurement_row> rows;
-    for (const short_load reference : { short_load::alone, short_load::alone_at_full_load }) {
-        for (const std::size_t servers : { std::size_t{ 1 }, std::size_t{ 6 } }) {
-            for (const double spread : { 0.2, 0.9 }) {
-                std::uint64_t requests = 0;
-                std::uint64_t refused = 0;
-                std::uint64_t ignored = 0;
-                const double ratio = shortRatio({ servers, spread, dispatcherPolicy(slots) }, reference, seeds, requests, refused);
-                const double baseline = shortRatio({ servers, spread, firstComePolicy(slots) }, reference, seeds, ignored, ignored);
-                rows.push_back({ reference == short_load::alone ? "p99 of short requests beside long ones / the same short requests alone"
-                                                                : "p99 of short requests beside long ones / short requests alone at 70 % load",
-                                 reference == short_load::alone ? "<= 1.3" : "-",
-                                 ratio,
-                                 "ratio",
-                                 "first come first served",
-                                 baseline,
-                                 seeds,
-                                 requests,
-                                 std::to_string(servers) + " server(s) of 3 worker slots, run times +-" + std::to_string(static_cast<int>(spread * 100))
-                                     + " %, short requests refused: " + std::to_string(refused) });
-            }
+    for (const double spread : { 0.2, 0.9 }) {
+        for (const short_load reference : { short_load::alone, short_load::alone_at_full_load }) {
+            rows.push_back(shortRow(reference, 1, spread, seeds));
+            rows.push_back(shortRow(reference, 6, spread, seeds));
         }
+        rows.push_back(oneSlotRow(spread, seeds));
     }
     return rows;
 }
--- a/tests/measure_dispatch/placement_measurements.cpp
+++ b/tests/measure_dispatch/placement_measurements.cpp
@@ -22,7 +22,7 @@
 const monotonic_time begin{ 1s };
 
 using chooser_factory = std::function<std::unique_ptr<endpoint_policy>(std::size_t entry, std::uint64_t seed)>;
-using report_distortion = std::function<std::uint32_t(std::size_t server, std::uint32_t running, monotonic_time now)>;
+using report_distortion = std::function<home_load(std::size_t server, const home_load &load, monotonic_time now)>;
 
 std::unique_ptr<endpoint_policy> makeHomeChooser(std::size_t entry, std::uint64_t seed)
 {
@@ -80,12 +80,12 @@
         const char *reports;
         report_distortion distort;
     };
-    const report_distortion onceFalse = [](std::size_t server, std::uint32_t load, monotonic_time now) {
+    const report_distortion onceFalse = [](std::size_t server, const home_load &load, monotonic_time now) {
         const auto tick = now.time_since_epoch() / 100ms;
-        return server == 0 && tick % 100 == 0 ? 0 : load;
+        return server == 0 && tick % 100 == 0 ? home_load{} : load;
     };
-    const report_distortion alwaysZero = [](std::size_t server, std::uint32_t load, monotonic_time /*now*/) {
-        return server == 0 ? 0 : load;
+    const report_distortion alwaysZero = [](std::size_t server, const home_load &load, monotonic_time /*now*/) {
+        return server == 0 ? home_load{} : load;
     };
     const std::vector<scenario> scenarios{ { 0.2, "true reports", {} },
                                            { 0.7, "true reports", {} },
--- a/tests/measure_dispatch/simulated_service.cpp
+++ b/tests/measure_dispatch/simulated_service.cpp
@@ -18,6 +18,8 @@
 constexpr time_span tickInterval = 20ms;
 constexpr time_span cancelTime = 1ms;
 const home_term onlyTerm(1);
+/** The entry instances know the long classes by the run times that they see. */
+constexpr std::uint32_t longClass = 1;
 
 } // namespace
 
@@ -31,6 +33,7 @@
     , m_random(m_options.seed)
 {
     m_servers.resize(m_options.servers);
+    m_loads.resize(m_options.servers);
     for (server &each : m_servers) {
         each.policy = m_options.dispatch();
     }
@@ -43,7 +46,7 @@
 
 void simulated_service::schedule(monotonic_time at, event_kind kind, std::size_t subject, std::uint32_t value)
 {
-    m_events.push({ at, ++m_order, kind, subject, value });
+    m_events.push({ at, ++m_order, kind, subject, value, {} });
 }
 
 std::vector<request_outcome> simulated_service::run(const std::vector<scripted_request> &script)
@@ -93,13 +96,11 @@
     case event_kind::report:
         reportLoads();
         break;
-    case event_kind::reported: {
+    case event_kind::reported:
         for (auto &entry : m_entries) {
-            const std::uint32_t running = std::min(next.value, m_options.slots);
-            entry->reported(next.subject, next.value - running, running);
+            entry->reported(next.subject, next.load);
         }
         break;
-    }
     case event_kind::tick:
         for (std::size_t i = 0; i < m_servers.size(); ++i) {
             give(i, dispatch_tick{});
@@ -112,8 +113,9 @@
 void simulated_service::arrive(std::size_t index)
 {
     const scripted_request &scripted = (*m_script)[index];
-    const std::size_t server = m_entries.empty() ? scripted.server : m_entries[index % m_entries.size()]->choose();
+    const std::size_t server = m_entries.empty() ? scripted.server : m_entries[index % m_entries.size()]->choose(scripted.requestClass == longClass);
     m_outcomes[index].server = server;
+    ++openRequests(index);
     dispatch_request request;
     request.id = dispatch_id(index + 1);
     request.requestId = request_id("request");
@@ -207,19 +209,23 @@
     --m_open;
     m_outcomes[index].code = finished.code;
     m_outcomes[index].finished = m_now;
+    --openRequests(index);
     if (!m_entries.empty()) {
-        m_entries[index % m_entries.size()]->finished(m_outcomes[index].server);
+        m_entries[index % m_entries.size()]->finished(m_outcomes[index].server, (*m_script)[index].requestClass == longClass);
     }
 }
 
+std::uint32_t &simulated_service::openRequests(std::size_t index)
+{
+    home_load &load = m_loads[m_outcomes[index].server];
+    return (*m_script)[index].requestClass == longClass ? load.longRequests : load.shortRequests;
+}
+
 void simulated_service::reportLoads()
 {
     for (std::size_t i = 0; i < m_servers.size(); ++i) {
-        auto load = static_cast<std::uint32_t>(m_servers[i].running.size()) + m_servers[i].policy->queued();
-        if (m_options.distort) {
-            load = m_options.distort(i, load, m_now);
-        }
-        schedule(m_now + reportDelay, event_kind::reported, i, load);
+        const home_load load = m_options.distort ? m_options.distort(i, m_loads[i], m_now) : m_loads[i];
+        m_events.push({ m_now + reportDelay, ++m_order, event_kind::reported, i, 0, load });
     }
     if (m_now < m_end) {
         schedule(m_now + reportInterval, event_kind::report, 0);
--- a/tests/measure_dispatch/simulated_service.h
+++ b/tests/measure_dispatch/simulated_service.h
@@ -29,7 +29,7 @@
     /** Share of attempts whose connection is lost at the end of the run. */
     double lostConnections = 0;
     /** Changes a load report on its way, to mislead. */
-    std::function<std::uint32_t(std::size_t server, std::uint32_t running, monotonic_time now)> distort;
+    std::function<home_load(std::size_t server, const home_load &load, monotonic_time now)> distort;
     std::uint64_t seed = 1;
 };
 
@@ -74,6 +74,7 @@
         event_kind kind = event_kind::tick;
         std::size_t subject = 0;
         std::uint32_t value = 0;
+        home_load load{};
         bool operator>(const event &other) const noexcept
         {
             return at != other.at ? at > other.at : order > other.order;
@@ -90,11 +91,14 @@
     void start(std::size_t server, dispatch_id id);
     void finish(const finish_request &finished);
     void reportLoads();
+    std::uint32_t &openRequests(std::size_t index);
 
     service_options m_options;
     const std::vector<scripted_request> *m_script = nullptr;
     std::vector<request_outcome> m_outcomes;
     std::vector<bool> m_finished;
+    /** Unfinished requests of each server. */
+    std::vector<home_load> m_loads;
     std::vector<server> m_servers;
     std::vector<std::unique_ptr<endpoint_policy>> m_entries;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
--- a/tests/unit/dispatch/server_dispatcher_test.cpp
+++ b/tests/unit/dispatch/server_dispatcher_test.cpp
@@ -83,6 +83,7 @@
         driver.give(longRequest());
     }
     cr_expect(driver.running().size() == 2);
+    cr_expect(driver.dispatcher.longCount() == 4);
     const dispatch_request quick = driver.request();
     driver.give(quick);
     cr_expect(driver.timesSent(quick.id) == 1);
