--- a/tests/measure_dispatch/cost_measurement.cpp
+++ b/tests/measure_dispatch/cost_measurement.cpp
@@ -76,33 +76,37 @@
     return values[values.size() / 2];
 }
 
+measurement measureCost(const std::string &conditions, bool nonIdempotent, std::size_t queued)
+{
+    return [=](std::uint64_t repetitions) {
+        // Every id of the run is remembered.
+        const policy_factory policy = [] {
+            dispatcher_settings settings;
+            settings.workerSlots = slots;
+            settings.duplicateEntries = 2 * requestsPerRun;
+            return std::make_unique<dispatcher_policy>(settings);
+        };
+        measurement_row row;
+        row.measure = "decision logic per request (arrival and answer), median of the repetitions";
+        row.target = "<= 2000";
+        row.value = median(policy, nonIdempotent, queued, repetitions);
+        row.unit = "ns";
+        row.baseline = "first come first served";
+        row.baselineValue = median(firstComePolicy(slots), nonIdempotent, queued, repetitions);
+        row.seeds = repetitions;
+        row.requests = requestsPerRun;
+        row.conditions = conditions;
+        return std::vector<measurement_row>{ row };
+    };
+}
+
 } // namespace
 
-std::vector<measurement_row> measureCost(std::uint64_t seeds)
+std::map<std::string, measurement> costMeasurements()
 {
-    // Every id of the run is remembered, as in ten minutes of 167 non-idempotent requests/s.
-    const policy_factory policy = [] {
-        dispatcher_settings settings;
-        settings.workerSlots = slots;
-        settings.duplicateEntries = 2 * requestsPerRun;
-        return std::make_unique<dispatcher_policy>(settings);
-    };
-    std::vector<measurement_row> rows;
-    const auto add = [&](const std::string &conditions, bool nonIdempotent, std::size_t queued) {
-        rows.push_back({ "decision logic per request (arrival and answer), median of the repetitions",
-                         "<= 2000",
-                         median(policy, nonIdempotent, queued, seeds),
-                         "ns",
-                         "first come first served",
-                         median(firstComePolicy(slots), nonIdempotent, queued, seeds),
-                         seeds,
-                         requestsPerRun,
-                         conditions });
-    };
-    add("idempotent, empty queue, 50 customers", false, 0);
-    add("idempotent, 500 requests queued, 50 customers", false, 500);
-    add("non-idempotent, empty queue, 100,000 ids remembered", true, 0);
-    return rows;
+    return { { "cost_idle", measureCost("idempotent, empty queue, 50 customers", false, 0) },
+             { "cost_queued", measureCost("idempotent, 500 requests queued, 50 customers", false, 500) },
+             { "cost_remembered", measureCost("non-idempotent, empty queue, up to 100,000 ids remembered", true, 0) } };
 }
 
 } // namespace sycamoretray
--- a/tests/measure_dispatch/main.cpp
+++ b/tests/measure_dispatch/main.cpp
@@ -18,7 +18,8 @@
 Options:
   --seeds N  Arrival scripts per figure, with seeds 1 to N [default: 20].
 
-Measures: short_beside_long overload retries flood balance crashes cost (all if none is named)
+Measures: short_beside_long overload retries flood balance crashes cost_idle cost_queued cost_remembered (all if none is
+named)
 )";
 
 } // namespace
@@ -29,7 +30,7 @@
     const auto seeds = static_cast<std::uint64_t>(arguments.at("--seeds").asLong());
     std::map<std::string, measurement> measures = loadMeasurements();
     measures.merge(placementMeasurements());
-    measures["cost"] = measureCost;
+    measures.merge(costMeasurements());
     std::vector<std::string> wanted = arguments.at("MEASURE").asStringList();
     if (wanted.empty()) {
         for (const auto &each : measures) {
--- a/tests/measure_dispatch/measurements.h
+++ b/tests/measure_dispatch/measurements.h
@@ -16,7 +16,7 @@
 /** Measurements of several servers: evenness without keys, crashes by one request. */
 std::map<std::string, measurement> placementMeasurements();
 
-/** Cost of the decision logic per request, by the steady clock. @p seeds is the number of repetitions. */
-std::vector<measurement_row> measureCost(std::uint64_t seeds);
+/** Cost of the decision logic per request, by the steady clock. The number of seeds is that of repetitions. */
+std::map<std::string, measurement> costMeasurements();
 
 } // namespace sycamoretray
