Answer unknown when the server that may have run an id is gone

Cause: for services not divided by key, a repeat of an id whose server went away was refused as not run, although the first request may have run there. Also adapts the load reports to the split into short and long requests; homes report all requests as short so far.

--- a/apps/sycamoretrayd/undivided_chooser.cpp
+++ b/apps/sycamoretrayd/undivided_chooser.cpp
@@ -54,7 +54,8 @@
             return { result_code::ok, *server };
         }
         if (availability.changed + changeMargin >= request.created) {
-            return {};
+            // The id may have run on the server that went away, so "not run" would not be true.
+            return { result_code::request_id_before_takeover, {} };
         }
     }
     return {};
@@ -74,7 +75,7 @@
     const std::lock_guard lock(m_mutex);
     const auto found = m_services.find(service);
     if (found != m_services.end()) {
-        found->second.chooser.reported(server, queued, running);
+        found->second.chooser.reported(server, home_load{ queued + running, 0 });
     }
 }
 
