--- a/libs/controller/server_lease.cpp
+++ b/libs/controller/server_lease.cpp
@@ -215,8 +215,11 @@
         attachOwnership(request);
         sent.challengeSent = m_challengeSent;
         sent.ownershipVersion = m_ownership->version;
-        const monotonic_time dated = context().settings.faults.leaseFromReplyTime ? m_challengeSent : m_challengeReceived;
-        m_boundUntil = std::max(m_boundUntil, dated + timing.leaseLength + context().driftMargin());
+        sent.boundUntil = m_challengeReceived + timing.leaseLength + context().driftMargin();
+        // The reply may be lost although the server has the lease, so the bound counts from now on.
+        if (!context().settings.faults.leaseFromReplyTime) {
+            m_boundUntil = std::max(m_boundUntil, sent.boundUntil);
+        }
     }
     m_urgent = false;
     m_lastSent = context().now;
@@ -301,6 +304,7 @@
     if (!request.challengeSent) {
         return;
     }
+    m_boundUntil = std::max(m_boundUntil, request.boundUntil);
     if (reply.ownershipMissing) {
         m_acknowledged = 0;
         m_urgent = true;
--- a/libs/controller/server_lease.h
+++ b/libs/controller/server_lease.h
@@ -79,6 +79,8 @@
         /** When the request was sent whose reply carried the challenge; nothing if no lease was asked for. */
         std::optional<monotonic_time> challengeSent;
         std::uint64_t ownershipVersion = 0;
+        /** Upper bound of the lapse of the lease that this request gives. */
+        monotonic_time boundUntil;
     };
 
     controller_context &context() const noexcept;
--- a/libs/controller/state_dump.cpp
+++ b/libs/controller/state_dump.cpp
@@ -37,6 +37,19 @@
     return result;
 }
 
+json confirmersOf(const control_state &state)
+{
+    const confirmer_set &confirmers = state.confirmers();
+    json result = { { "members", json::array() }, { "previous", json::array() }, { "change", confirmers.changeNumber() }, { "pending", confirmers.pending() } };
+    for (const incarnation_id &member : confirmers.members()) {
+        result["members"].push_back(member.value());
+    }
+    for (const incarnation_id &member : confirmers.previous()) {
+        result["previous"].push_back(member.value());
+    }
+    return result;
+}
+
 json instancesOf(const dump_inputs &inputs)
 {
     json result = json::array();
@@ -114,6 +127,7 @@
                           { "log", { { "reachable", inputs.logReachable }, { "evidence_age_ms", age.count() / 1000 } } },
                           { "queued_records", inputs.queuedRecords },
                           { "documents", documentsOf(state) },
+                          { "confirmers", confirmersOf(state) },
                           { "instances", instancesOf(inputs) },
                           { "servers", serversOf(inputs) },
                           { "unserved_slots", unservedSlots(state) } };
