Wait for balanced slots before whole-system tests start their load

Cause: the first server that is up gets all slots, so tests and the demo killed servers that owned nothing yet.

Change: drum_cluster() and the demo wait until no server has 1.2 times the mean of the slots.

--- a/tests/integration/cluster.py
+++ b/tests/integration/cluster.py
@@ -171,6 +171,18 @@
 
         wait_until(f"all of {sorted(expected)} served", served, seconds)
 
+    def wait_balanced(self, seconds=20):
+        """Waits until the planned moves after a change of servers are done: no server of a divided service has 1.2 times the mean."""
+
+        def balanced():
+            slots = {}
+            for entry in self.live_instances()[0].status()["servers"]:
+                if entry["up"] and not entry["draining"]:
+                    slots.setdefault(entry["server"].rsplit("/", 1)[0], []).append(entry["slots"])
+            return all(max(counts) <= 1.2 * sum(counts) / len(counts) for counts in slots.values())
+
+        wait_until("balanced slots", balanced, seconds)
+
     def owner(self, service, key):
         return get_json(self.live_instances()[0].admin, f"/v1/owner?service={service}&key={key}")
 
@@ -207,6 +219,7 @@
     cluster.start_instances(instances)
     publish_drums(cluster)
     cluster.wait_served()
+    cluster.wait_balanced()
 
 
 def publish_drums(cluster):
--- a/tests/integration/demo.py
+++ b/tests/integration/demo.py
@@ -44,6 +44,7 @@
     cluster.publish_example("vratnik", {"tracking_endpoints": endpoints("vratnik.tracking"), "credit_endpoints": endpoints("vratnik.credit")})
     cluster.publish_example("nepal", {"assessment_endpoints": endpoints("nepal.assessment"), "lodging_endpoints": endpoints("nepal.lodging")})
     cluster.wait_served()
+    cluster.wait_balanced()
 
 
 def call(cluster):
