--- a/tests/harness/simulated_cluster.cpp
+++ b/tests/harness/simulated_cluster.cpp
@@ -216,6 +216,9 @@
 
 void simulated_cluster::perform(instance_host &host, const controller_action &action)
 {
+    if (m_settings.observeAction) {
+        m_settings.observeAction(host, action);
+    }
     std::visit(
         [this, &host](const auto &each) {
             performOne(host, each);
--- a/tests/harness/simulated_cluster.h
+++ b/tests/harness/simulated_cluster.h
@@ -31,6 +31,8 @@
     bool clocksAtBound = false;
     controller_timing timing;
     controller_test_faults faults;
+    /** Called with each action before it is carried out; empty if nobody counts them. */
+    std::function<void(const instance_host &host, const controller_action &action)> observeAction;
     /** Called with each line of the trace; empty if nobody reads it. */
     std::function<void(const std::string &line)> trace;
 };
