--- a/apps/sycamoretrayd/undivided_chooser.cpp
+++ b/apps/sycamoretrayd/undivided_chooser.cpp
@@ -50,12 +50,13 @@
     std::sort(ranked.rbegin(), ranked.rend());
     for (const auto &[score, server] : ranked) {
         const server_availability &availability = service.servers.at(*server);
-        if (availability.changed + changeMargin >= request.created) {
-            return { availability.available ? result_code::request_id_before_takeover : result_code::no_owner, {} };
-        }
         if (availability.available) {
             return { result_code::ok, *server };
         }
+        if (availability.changed + changeMargin >= request.created) {
+            // The id may have run on the server that went away, so "not run" would not be true.
+            return { result_code::request_id_before_takeover, {} };
+        }
     }
     return {};
 }
@@ -74,7 +75,7 @@
     const std::lock_guard lock(m_mutex);
     const auto found = m_services.find(service);
     if (found != m_services.end()) {
-        found->second.chooser.reported(server, queued, running);
+        found->second.chooser.reported(server, home_load{ queued + running, 0 });
     }
 }
 
