--- a/libs/dispatch/home_chooser.cpp
+++ b/libs/dispatch/home_chooser.cpp
@@ -167,6 +167,11 @@
     }
 }
 
+void home_chooser::reported(const server_id &server, std::uint32_t queued, std::uint32_t running)
+{
+    reported(server, home_load{ queued + running, 0 });
+}
+
 void home_chooser::believe(home &each, bool isLong, std::uint32_t requests)
 {
     share &part = each.shares[isLong];
--- a/libs/dispatch/home_chooser.h
+++ b/libs/dispatch/home_chooser.h
@@ -55,6 +55,8 @@
 
     /** The home of @p server reports its load. */
     void reported(const server_id &server, const home_load &load);
+    /** The same for a report that does not tell long requests from short ones; all count as short. */
+    void reported(const server_id &server, std::uint32_t queued, std::uint32_t running);
 
 private:
     /** What is known about the short or the long requests of a home. */
