Keep the memory of moved slots, and test the decoders that read from outside

Slots gained by a move were marked as unknown when the routing table arrived before the memory of the old home, and the memory that came milliseconds later did not undo it; the first owner of a slot also treated every id from its first 500 ms as unknown. Now late memory counts for 1 s, and slots and servers that were never used have nothing to remember (routed_service::neverAssigned, server_route::firstHome).

Content-Length with a list of equal values is refused: the new smuggling test found that Beast accepts it.

--- a/apps/sycamoretrayd/entry_router.cpp
+++ b/apps/sycamoretrayd/entry_router.cpp
@@ -214,11 +214,13 @@
         m_undivided.finished(request->service, forward.server);
     }
     if (outcomeClass(code) == request_outcome_class::unknown) {
-        logEvent(event_severity::warning, "outcome_unknown", { { "code", std::string(resultName(code)) },
-                                                               { "server", forward.server.value() },
-                                                               { "home", forward.home.value() },
-                                                               { "slot", std::to_string(request->request.slot.value()) },
-                                                               { "request_id", request->request.requestId.value() } });
+        logEvent(event_severity::warning,
+                 "outcome_unknown",
+                 { { "code", std::string(resultName(code)) },
+                   { "server", forward.server.value() },
+                   { "home", forward.home.value() },
+                   { "slot", std::to_string(request->request.slot.value()) },
+                   { "request_id", request->request.requestId.value() } });
     }
     if (code == result_code::ok && answer) {
         finish(request, code, answer);
--- a/apps/sycamoretrayd/home_dispatcher.cpp
+++ b/apps/sycamoretrayd/home_dispatcher.cpp
@@ -49,6 +49,8 @@
 
 // A planned move takes milliseconds; memory that arrived longer ago may miss what ran in between.
 constexpr time_span importedMemoryValid = std::chrono::seconds(10);
+// Memory that arrives this soon after its slots were gained belongs to the move by which they were gained.
+constexpr time_span lateMemoryValid = std::chrono::seconds(1);
 
 } // namespace
 
@@ -82,6 +84,7 @@
         std::vector<hash_slot> covered;
         if (const routed_service *routed = table->findService(self->m_service)) {
             self->noteOwnership(*routed, covered);
+            self->noteFirstUse(*routed);
             self->noteAvailability(*routed);
         }
         self->m_client.open();
@@ -174,6 +177,9 @@
     m_executor.dispatch([self = shared_from_this(), slots = std::move(slots), transfer = std::move(transfer)] {
         dispatch_transfer merged = transfer;
         for (const hash_slot slot : slots) {
+            if (self->wasForgotten(slot)) {
+                continue;
+            }
             if (self->m_ownedSlots[slot.value()]) {
                 // A hot key returns: what is known about the other keys of the slot does not reach further back than before.
                 merged.knownSince = std::max(merged.knownSince, self->m_dispatcher.exportDuplicates({ slot }).knownSince);
@@ -201,14 +207,19 @@
     }
     if (!m_dividedByKey) {
         const bool wasAvailable = m_available;
+        const bool neverUsed = m_neverUsed;
         noteAvailability(*routed);
         if (m_available && !wasAvailable) {
-            forgetBefore({ hash_slot(0) });
+            neverUsed ? knowAlways({ hash_slot(0) }) : forgetBefore({ hash_slot(0) });
         }
         return;
     }
     std::vector<hash_slot> gained;
     noteOwnership(*routed, gained);
+    if (std::exchange(m_neverUsed, routed->neverAssigned)) {
+        knowAlways(gained);
+        return;
+    }
     std::vector<hash_slot> unknown;
     for (const hash_slot slot : gained) {
         if (!wasImported(slot)) {
@@ -217,6 +228,9 @@
     }
     if (!unknown.empty()) {
         forgetBefore(unknown);
+        for (const hash_slot slot : unknown) {
+            m_forgottenSlots[slot] = steadyNow();
+        }
     }
 }
 
@@ -227,11 +241,29 @@
     m_dispatcher.importDuplicates(nothing, slots);
 }
 
+void home_dispatcher::knowAlways(const std::vector<hash_slot> &slots)
+{
+    if (!slots.empty()) {
+        m_dispatcher.importDuplicates({}, slots);
+    }
+}
+
 void home_dispatcher::noteAvailability(const routed_service &routed)
 {
     m_available = std::any_of(routed.servers.begin(), routed.servers.end(), [&](const server_route &route) {
         return route.endpoint.server == m_server && route.up && !route.draining;
     });
+    // Only for services not divided by key; updateGainedSlots() keeps it for the others.
+    m_neverUsed = m_neverUsed && (m_dividedByKey || !m_available);
+}
+
+void home_dispatcher::noteFirstUse(const routed_service &routed)
+{
+    const auto route = std::find_if(routed.servers.begin(), routed.servers.end(), [&](const server_route &candidate) {
+        return candidate.endpoint.server == m_server;
+    });
+    const bool firstHome = route != routed.servers.end() && route->firstHome && !route->up && route->term == m_term;
+    m_neverUsed = m_dividedByKey ? routed.neverAssigned : firstHome;
 }
 
 bool home_dispatcher::wasImported(hash_slot slot)
@@ -245,6 +277,17 @@
     return recent;
 }
 
+bool home_dispatcher::wasForgotten(hash_slot slot)
+{
+    const auto found = m_forgottenSlots.find(slot);
+    if (found == m_forgottenSlots.end()) {
+        return false;
+    }
+    const bool recent = steadyNow() - found->second < lateMemoryValid;
+    m_forgottenSlots.erase(found);
+    return recent;
+}
+
 void home_dispatcher::noteOwnership(const routed_service &routed, std::vector<hash_slot> &gained)
 {
     const auto isSelf = [&](std::uint16_t owner) {
--- a/apps/sycamoretrayd/home_dispatcher.h
+++ b/apps/sycamoretrayd/home_dispatcher.h
@@ -131,8 +131,12 @@
     void noteOwnership(const routed_service &routed, std::vector<hash_slot> &gained);
     /** Marks ids for these slots from before now as unknown. */
     void forgetBefore(const std::vector<hash_slot> &slots);
+    /** Marks ids for these slots as known from the beginning, because none of them can have run. */
+    void knowAlways(const std::vector<hash_slot> &slots);
+    void noteFirstUse(const routed_service &routed);
     void noteAvailability(const routed_service &routed);
     bool wasImported(hash_slot slot);
+    bool wasForgotten(hash_slot slot);
     void armTick();
     bool onTick();
 
@@ -153,11 +157,15 @@
     /** Slots that the server owned in the last routing table, and when memory arrived for slots that were not owned yet. */
     std::vector<bool> m_ownedSlots;
     std::unordered_map<hash_slot, monotonic_time> m_importedSlots;
+    /** When slots were gained whose memory had not arrived yet. */
+    std::unordered_map<hash_slot, monotonic_time> m_forgottenSlots;
     /** Hot keys that were served by this server, and those of its slots that were served elsewhere, in the last routing table. */
     std::set<std::string> m_extraKeys;
     std::set<std::string> m_exceptKeys;
     /** Whether entries chose this server in the last routing table; for services not divided by key. */
     bool m_available = false;
+    /** Nothing can have run at this server, or for the slots of this service, before the last routing table. */
+    bool m_neverUsed = false;
     bool m_closed = false;
     bool m_ticking = false;
     std::vector<dispatch_action> m_actions;
--- a/libs/control_state/routing_builder.cpp
+++ b/libs/control_state/routing_builder.cpp
@@ -15,6 +15,7 @@
     route.draining = server.draining || server.removed;
     route.home = server.home;
     route.term = server.term;
+    route.firstHome = server.previousTerm.value() == 0 && !server.wasLost;
     return route;
 }
 
@@ -25,6 +26,7 @@
         out.servers.push_back(routeOf(id, state.servers().at(id)));
     }
     out.slotOwner = table.owners();
+    out.neverAssigned = table.neverAssigned();
     for (const auto &[key, exception] : table.exceptions()) {
         out.keyOwner.emplace(key, table.indexOf(exception.server));
     }
--- a/libs/control_state/slot_table.cpp
+++ b/libs/control_state/slot_table.cpp
@@ -41,6 +41,13 @@
     return owner == noServer ? server_id() : m_servers[owner];
 }
 
+bool slot_table::neverAssigned() const
+{
+    return std::all_of(m_tokens.begin(), m_tokens.end(), [](fencing_token token) {
+        return token.value() == 0;
+    });
+}
+
 fencing_token slot_table::tokenOf(hash_slot slot) const
 {
     return m_tokens[slot.value()];
--- a/libs/control_state/slot_table.h
+++ b/libs/control_state/slot_table.h
@@ -41,6 +41,9 @@
     server_id ownerOf(hash_slot slot) const;
     fencing_token tokenOf(hash_slot slot) const;
 
+    /** True if no slot has ever had an owner. */
+    bool neverAssigned() const;
+
     /** Owner of the key: that of its exception, else that of its slot. */
     server_id ownerOfKey(const std::string &key) const;
     std::vector<hash_slot> slotsOf(const server_id &server) const;
--- a/libs/http_message/http_parser.cpp
+++ b/libs/http_message/http_parser.cpp
@@ -32,8 +32,6 @@
     }
 
     message_type<isRequest> message;
-    bool ambiguousLength = false;
-    bool tooManyFields = false;
     bool expectsContinue = false;
     bool started = false;
 
@@ -60,10 +58,14 @@
             return;
         }
         if (message.fields.size() >= m_limits.fields) {
-            tooManyFields = true;
             ec = http::error::header_limit;
             return;
         }
+        // Beast takes a list of equal lengths, "3, 3", for one length; other parsers do not.
+        if (field == http::field::content_length && value.find_first_not_of("0123456789") != beast::string_view::npos) {
+            ec = http::error::bad_content_length;
+            return;
+        }
         m_lengthFields += field == http::field::content_length ? 1 : 0;
         m_codingFields += field == http::field::transfer_encoding ? 1 : 0;
         if (field == http::field::expect && beast::iequals(value, "100-continue")) {
@@ -77,7 +79,6 @@
         m_headerDone = true;
         const bool otherCoding = m_codingFields > 0 && !this->chunked();
         if (m_lengthFields + m_codingFields > 1 || otherCoding) {
-            ambiguousLength = true;
             ec = http::error::bad_content_length;
         }
     }
--- a/libs/routing/routing_table.h
+++ b/libs/routing/routing_table.h
@@ -24,6 +24,8 @@
     /** Empty if the server has no home. */
     incarnation_id home;
     home_term term;
+    /** No other home had the server before, and it was never lost. */
+    bool firstHome = false;
 };
 
 struct routed_service {
@@ -31,6 +33,8 @@
     std::vector<server_route> servers;
     /** Index into servers for each hash slot, or noOwner. Empty for services that are not divided by key. */
     std::vector<std::uint16_t> slotOwner;
+    /** No slot has had an owner yet, so no request with a key has run. */
+    bool neverAssigned = false;
     /** Hot keys that are not served by the owner of their slot. */
     std::unordered_map<std::string, std::uint16_t> keyOwner;
 
--- /dev/null
+++ b/tests/unit/http_message/http_parser_test.cpp
@@ -0,0 +1,164 @@
+#include "http_message/http_parser.h"
+#include "http_message/http_writer.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace sycamoretray;
+
+namespace
+{
+
+constexpr std::uint64_t fuzzSeed = 20261204;
+
+/** Feeds @p text in pieces of random size. Returns the number of complete requests; stops at the first failure. */
+template<class Parser, class Taken>
+void feedInPieces(Parser &parser, const std::string &text, std::mt19937_64 &random, Taken taken)
+{
+    std::string buffer;
+    std::size_t next = 0;
+    while (next < text.size() && parser.state() != http_parse_state::failed) {
+        const std::size_t piece = std::min(text.size() - next, 1 + random() % 40);
+        buffer.append(text, next, piece);
+        next += piece;
+        while (!buffer.empty() && parser.state() == http_parse_state::need_more) {
+            const std::size_t used = parser.feed(buffer);
+            cr_assert_leq(used, buffer.size());
+            buffer.erase(0, used);
+            if (parser.state() == http_parse_state::complete) {
+                taken(parser.take());
+            } else if (used == 0) {
+                break;
+            }
+        }
+    }
+}
+
+result_code requestError(const std::string &text)
+{
+    http_request_parser parser(http_limits{ 4096, 1000, 20 });
+    std::mt19937_64 random(fuzzSeed);
+    feedInPieces(parser, text, random, [](const http_request &) {});
+    return parser.error();
+}
+
+http_response_parser parseResponse(const std::string &text)
+{
+    http_response_parser parser(http_limits{});
+    parser.reset(false);
+    std::size_t position = 0;
+    while (position < text.size() && parser.state() == http_parse_state::need_more) {
+        const std::size_t used = parser.feed(std::string_view(text).substr(position));
+        position += used;
+        if (used == 0) {
+            break;
+        }
+    }
+    return parser;
+}
+
+} // namespace
+
+// Guards against request smuggling: two parsers must never see the end of a request at different places.
+Test(http_request_parser, refuses_ambiguous_length)
+{
+    const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    const std::vector<std::string> headers{ "Content-Length: 3\r\nContent-Length: 3\r\n",
+                                            "Content-Length: 3\r\nContent-Length: 4\r\n",
+                                            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+                                            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+                                            "Transfer-Encoding: gzip\r\n",
+                                            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                            "Content-Length: +3\r\n",
+                                            "Content-Length : 3\r\n",
+                                            "Content-Length: 3, 3\r\n" };
+    for (const std::string &header : headers) {
+        cr_expect_eq(requestError(start + header + "\r\nabc"), result_code::malformed_request, "%s", header.c_str());
+    }
+}
+
+// Guards against trailer fields that get past the checks made on the header.
+Test(http_request_parser, drops_trailer_fields)
+{
+    http_request_parser parser(http_limits{});
+    std::mt19937_64 random(fuzzSeed);
+    std::vector<http_request> requests;
+    feedInPieces(
+        parser, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nSycamoretray-Key: k\r\n\r\n", random, [&](http_request request) {
+            requests.push_back(std::move(request));
+        });
+    cr_assert_eq(requests.size(), 1U);
+    cr_expect(requests[0].body == "abc");
+    cr_expect_null(findField(requests[0].fields, "Sycamoretray-Key"));
+}
+
+// Guards against memory that one caller can fill, in the header, the number of fields, and both forms of body.
+Test(http_request_parser, enforces_limits)
+{
+    cr_expect_eq(requestError("GET /" + std::string(5000, 'a') + " HTTP/1.1\r\n\r\n"), result_code::header_too_large);
+    std::string fields = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 21; ++i) {
+        fields += "A: b\r\n";
+    }
+    cr_expect_eq(requestError(fields + "\r\n"), result_code::header_too_large);
+    cr_expect_eq(requestError("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n"), result_code::body_too_large);
+    std::string chunks = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 11; ++i) {
+        chunks += "64\r\n" + std::string(100, 'x') + "\r\n";
+    }
+    cr_expect_eq(requestError(chunks), result_code::body_too_large);
+}
+
+// Guards against crashes and endless loops on hostile bytes, and against pieces that change what is parsed.
+Test(http_request_parser, survives_mutated_requests)
+{
+    std::mt19937_64 random(fuzzSeed);
+    const std::string valid
+        = "POST /a/b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloPOST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n";
+    for (int run = 0; run < 20000; ++run) {
+        std::string text = valid;
+        const std::size_t changes = random() % 4;
+        for (std::size_t i = 0; i < changes; ++i) {
+            text[random() % text.size()] = static_cast<char>(random());
+        }
+        http_request_parser parser(http_limits{ 1024, 64, 10 });
+        std::size_t count = 0;
+        feedInPieces(parser, text, random, [&](const http_request &request) {
+            ++count;
+            cr_assert_leq(request.body.size(), 64U);
+        });
+        cr_assert(changes > 0 || count == 2, "run %d seed %lu", run, fuzzSeed);
+    }
+}
+
+// Guards against truncated answers that are taken for complete ones, at every length.
+Test(http_response_parser, never_completes_a_truncated_answer)
+{
+    const std::vector<std::string> answers{ "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+                                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" };
+    for (const std::string &answer : answers) {
+        for (std::size_t length = 0; length < answer.size(); ++length) {
+            cr_expect_neq(parseResponse(answer.substr(0, length)).state(), http_parse_state::complete, "%zu bytes", length);
+        }
+        http_response_parser parser = parseResponse(answer);
+        cr_assert_eq(parser.state(), http_parse_state::complete);
+        cr_expect(parser.take().body == "hello");
+    }
+    cr_expect_eq(parseResponse("HTTP/1.1 200 OK\r\n\r\nhello").error(), result_code::answer_truncated);
+}
+
+// Guards against callers that set our fields, also in the spelling that some servers cannot tell from ours.
+Test(http_message, removes_own_and_connection_fields)
+{
+    http_fields fields{ { "sycamoretray-key", "k" },        { "Sycamoretray_Home_Term", "1" },
+                        { "Connection", "close, X-Hop" },   { "X-Hop", "1" },
+                        { "Transfer-Encoding", "chunked" }, { "Accept", "*/*" } };
+    removeConnectionFields(fields);
+    removeOwnFields(fields);
+    const http_fields expected{ { "Accept", "*/*" } };
+    cr_expect(fields == expected);
+}
