End the child processes of a test that is terminated

Cause: SIGTERM, from a time limit, ended the Python program without its clean-up, and a cluster of 10 processes ran on.

Change: SIGTERM raises SystemExit, so the clean-ups run.

--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -5,10 +5,14 @@
 import signal
 import socket
 import subprocess
+import sys
 import time
 import urllib.error
 import urllib.request
 
+# Without a handler, SIGTERM (a time limit of CTest or timeout) would leave the child processes behind.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+
 
 def free_port(used=set()):
     """Returns a port below the ephemeral range that nothing listens on and that this program has not returned before."""
