--- a/tests/integration/measure.py
+++ b/tests/integration/measure.py
@@ -119,6 +119,9 @@
     rows = [json.loads(line) for line in reply.stdout.splitlines() if line.startswith("{")]
     if not rows:
         raise RuntimeError(f"{program} printed no rows")
+    for item in rows:
+        if isinstance(item["value"], float):
+            item["value"] = float(f"{item['value']:.4g}")
     return rows
 
 
@@ -128,6 +131,7 @@
     "unserved": unserved,
     "ownership": lambda: program_rows("ownership", "measure_ownership"),
     "dispatch": lambda: program_rows("dispatch", "measure_dispatch"),
+    "capacity": lambda: program_rows("capacity", "measure_capacity"),
 }
 
 
