--- a/apps/sycamoretrayd/administration.cpp
+++ b/apps/sycamoretrayd/administration.cpp
@@ -126,12 +126,15 @@
     std::size_t missing = 0;
     std::function<void(std::string)> done;
 
+    /** An empty @p server ends the enumeration of the dispatchers and adds nothing. */
     void add(const std::string &server, const std::string &text)
     {
         std::string complete;
         {
             const std::lock_guard lock(mutex);
-            result["dispatchers"][server] = json::parse(text, nullptr, false);
+            if (!server.empty()) {
+                result["dispatchers"][server] = json::parse(text, nullptr, false);
+            }
             if (--missing > 0) {
                 return;
             }
