Define the times of the ownership rules once

Cause: the settings and the controller each had the same 13 members with the same defaults, copied one by one in the daemon; a default changed in one place only would have gone unnoticed. No behaviour changes.

--- a/apps/sycamoretrayd/instance_daemon.cpp
+++ b/apps/sycamoretrayd/instance_daemon.cpp
@@ -47,20 +47,7 @@
     result.callerAddress = settings.callerAddress;
     result.adminAddress = settings.adminAddress;
     result.seed = std::hash<incarnation_id>{}(incarnation);
-    const ownership_settings &times = settings.ownership;
-    result.timing.leaseLength = times.lease;
-    result.timing.driftMargin = times.driftMargin;
-    result.timing.evidenceAge = times.evidenceAge;
-    result.timing.renewInterval = times.renewInterval;
-    result.timing.probeInterval = times.probeInterval;
-    result.timing.suspectAfter = times.suspectAfter;
-    result.timing.serverLostAfter = times.serverLostAfter;
-    result.timing.takeoverStep = times.takeoverStep;
-    result.timing.dispatchMargin = times.dispatchMargin;
-    result.timing.logReadWait = times.logReadWait;
-    result.timing.appendTimeout = times.appendTimeout;
-    result.timing.staleLimit = times.staleLimit;
-    result.timing.snapshotInterval = times.snapshotInterval;
+    result.timing = settings.ownership;
     return result;
 }
 
--- a/libs/controller/server_lease.cpp
+++ b/libs/controller/server_lease.cpp
@@ -176,7 +176,7 @@
 bool server_lease::sendDue() const
 {
     const monotonic_time now = context().now;
-    const controller_timing &timing = context().settings.timing;
+    const ownership_timing &timing = context().settings.timing;
     if (m_urgent) {
         return mayGrant() || m_outstanding.empty();
     }
@@ -200,7 +200,7 @@
 
 void server_lease::send()
 {
-    const controller_timing &timing = context().settings.timing;
+    const ownership_timing &timing = context().settings.timing;
     send_lease request;
     request.operation = context().newOperation();
     request.server = m_server;
@@ -381,7 +381,7 @@
     if (context().settings.faults.takeoverWithoutWait || state().previousTerm.value() == 0) {
         return true;
     }
-    const controller_timing &timing = context().settings.timing;
+    const ownership_timing &timing = context().settings.timing;
     const time_span margin = state().endpoint.checksTokens ? time_span(0) : timing.dispatchMargin;
     return m_majorityAt && context().now >= *m_majorityAt + timing.evidenceAge + timing.leaseLength + 2 * context().driftMargin() + margin;
 }
@@ -407,7 +407,7 @@
 
 bool server_lease::lossAllowed() const
 {
-    const controller_timing &timing = context().settings.timing;
+    const ownership_timing &timing = context().settings.timing;
     if (!state().up || m_lossSequence || silence() < timing.serverLostAfter || context().now < m_boundUntil) {
         return false;
     }
--- a/libs/controller/snapshot_writer.cpp
+++ b/libs/controller/snapshot_writer.cpp
@@ -29,7 +29,7 @@
 
 bool snapshot_writer::due(log_offset earliest) const
 {
-    const controller_timing &timing = m_context.settings.timing;
+    const ownership_timing &timing = m_context.settings.timing;
     const bool many = m_context.state.position().value() - m_lastPosition.value() >= timing.snapshotRecords;
     const bool late = m_context.now - *m_lastTime >= timing.snapshotInterval;
     // The log has dropped records that follow the newest known snapshot: only a new one lets an instance start.
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -19,23 +19,23 @@
 /** A duration of the settings, its JSON name in milliseconds and its place. */
 struct ownership_member {
     const char *name;
-    time_span ownership_settings::*member;
+    time_span ownership_timing::*member;
 };
 
 constexpr ownership_member ownershipMembers[] = {
-    { "lease_ms", &ownership_settings::lease },
-    { "drift_margin_ms", &ownership_settings::driftMargin },
-    { "evidence_age_ms", &ownership_settings::evidenceAge },
-    { "renew_interval_ms", &ownership_settings::renewInterval },
-    { "probe_interval_ms", &ownership_settings::probeInterval },
-    { "suspect_after_ms", &ownership_settings::suspectAfter },
-    { "server_lost_after_ms", &ownership_settings::serverLostAfter },
-    { "takeover_step_ms", &ownership_settings::takeoverStep },
-    { "dispatch_margin_ms", &ownership_settings::dispatchMargin },
-    { "log_read_wait_ms", &ownership_settings::logReadWait },
-    { "append_timeout_ms", &ownership_settings::appendTimeout },
-    { "stale_limit_ms", &ownership_settings::staleLimit },
-    { "snapshot_interval_ms", &ownership_settings::snapshotInterval },
+    { "lease_ms", &ownership_timing::leaseLength },
+    { "drift_margin_ms", &ownership_timing::driftMargin },
+    { "evidence_age_ms", &ownership_timing::evidenceAge },
+    { "renew_interval_ms", &ownership_timing::renewInterval },
+    { "probe_interval_ms", &ownership_timing::probeInterval },
+    { "suspect_after_ms", &ownership_timing::suspectAfter },
+    { "server_lost_after_ms", &ownership_timing::serverLostAfter },
+    { "takeover_step_ms", &ownership_timing::takeoverStep },
+    { "dispatch_margin_ms", &ownership_timing::dispatchMargin },
+    { "log_read_wait_ms", &ownership_timing::logReadWait },
+    { "append_timeout_ms", &ownership_timing::appendTimeout },
+    { "stale_limit_ms", &ownership_timing::staleLimit },
+    { "snapshot_interval_ms", &ownership_timing::snapshotInterval },
 };
 
 std::int64_t inMilliseconds(time_span span)
@@ -65,9 +65,9 @@
 }
 
 /** The ownership rules need each of these relations; docs/design.md, section 6. */
-void checkRelations(const ownership_settings &ownership, const document_reader &reader)
+void checkRelations(const ownership_timing &ownership, const document_reader &reader)
 {
-    if (ownership.renewInterval * 2 > ownership.lease) {
+    if (ownership.renewInterval * 2 > ownership.leaseLength) {
         throw document_error(reader.pathOf("renew_interval_ms"),
                              std::to_string(inMilliseconds(ownership.renewInterval)),
                              "write at most half of lease_ms, or one late renewal ends the lease");
@@ -77,21 +77,21 @@
                              std::to_string(inMilliseconds(ownership.evidenceAge)),
                              "write at least twice probe_interval_ms and log_read_wait_ms, or evidence runs out between two reads");
     }
-    if (ownership.evidenceAge > ownership.lease) {
+    if (ownership.evidenceAge > ownership.leaseLength) {
         throw document_error(reader.pathOf("evidence_age_ms"),
                              std::to_string(inMilliseconds(ownership.evidenceAge)),
                              "write at most lease_ms, or the wait of a takeover does not cover the clock drift");
     }
-    if (ownership.serverLostAfter < ownership.lease + ownership.driftMargin) {
+    if (ownership.serverLostAfter < ownership.leaseLength + ownership.driftMargin) {
         throw document_error(
             reader.pathOf("server_lost_after_ms"), std::to_string(inMilliseconds(ownership.serverLostAfter)), "write at least lease_ms + drift_margin_ms");
     }
 }
 
-ownership_settings readOwnership(const json &value, const std::string &path)
+ownership_timing readOwnership(const json &value, const std::string &path)
 {
     document_reader reader(value, path);
-    ownership_settings ownership;
+    ownership_timing ownership;
     for (const ownership_member &entry : ownershipMembers) {
         ownership.*entry.member = reader.milliseconds(entry.name, ownership.*entry.member);
     }
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "base/ownership_timing.h"
 
 #include <cstdint>
 #include <string>
@@ -19,23 +20,6 @@
     time_span idleTimeout = std::chrono::seconds(60);
 };
 
-/** Times of the ownership protocol; docs/design.md, section 6. */
-struct ownership_settings {
-    time_span lease = std::chrono::milliseconds(400);
-    time_span driftMargin = std::chrono::milliseconds(20);
-    time_span evidenceAge = std::chrono::milliseconds(300);
-    time_span renewInterval = std::chrono::milliseconds(80);
-    time_span probeInterval = std::chrono::milliseconds(100);
-    time_span suspectAfter = std::chrono::milliseconds(450);
-    time_span serverLostAfter = std::chrono::milliseconds(700);
-    time_span takeoverStep = std::chrono::milliseconds(150);
-    time_span dispatchMargin = std::chrono::milliseconds(200);
-    time_span logReadWait = std::chrono::milliseconds(100);
-    time_span appendTimeout = std::chrono::milliseconds(500);
-    time_span staleLimit = std::chrono::seconds(5);
-    time_span snapshotInterval = std::chrono::minutes(5);
-};
-
 /** Settings of sycamoretrayd. docs/settings.md lists the JSON names. */
 struct daemon_settings {
     instance_id instance;
@@ -56,7 +40,7 @@
     std::string adminTokenFile;
     std::uint32_t workers = 2;
     caller_limits callers;
-    ownership_settings ownership;
+    ownership_timing ownership;
 };
 
 /**
--- a/tests/harness/simulated_cluster.h
+++ b/tests/harness/simulated_cluster.h
@@ -30,7 +30,7 @@
     double clockError = 0;
     /** Clock rates are only the two extremes. */
     bool clocksAtBound = false;
-    controller_timing timing;
+    ownership_timing timing;
     controller_test_faults faults;
     /** Called with each action before it is carried out; empty if nobody counts them. */
     std::function<void(const instance_host &host, const controller_action &action)> observeAction;
--- a/tests/unit/settings/daemon_settings_test.cpp
+++ b/tests/unit/settings/daemon_settings_test.cpp
@@ -42,7 +42,7 @@
 {
     const daemon_settings settings = parseDaemonSettings(validSettings().dump());
     cr_expect(printDaemonSettings(parseDaemonSettings(printDaemonSettings(settings))) == printDaemonSettings(settings));
-    cr_expect(settings.ownership.lease == std::chrono::milliseconds(400));
+    cr_expect(settings.ownership.leaseLength == std::chrono::milliseconds(400));
 }
 
 // Guards against a mistyped name that is silently ignored.
