--- a/apps/sycamoretrayd/daemon_signals.cpp
+++ b/apps/sycamoretrayd/daemon_signals.cpp
@@ -10,11 +10,13 @@
 {
 
 struct daemon_signals::impl {
-    impl(boost::asio::io_context &context, std::function<void()> givenStop, std::function<void()> givenDump)
+    impl(boost::asio::io_context &context, signal_actions givenActions)
         : signals(context, SIGTERM, SIGINT, SIGUSR1)
-        , stop(std::move(givenStop))
-        , dump(std::move(givenDump))
+        , actions(std::move(givenActions))
     {
+        if (actions.reload) {
+            signals.add(SIGHUP);
+        }
     }
 
     void await()
@@ -23,22 +25,25 @@
             if (error) {
                 return;
             }
-            if (number == SIGUSR1) {
-                dump();
-            } else {
-                stop();
-            }
+            handle(number);
             await();
         });
     }
 
+    void handle(int number) const
+    {
+        const std::function<void()> &action = number == SIGUSR1 ? actions.dump : number == SIGHUP ? actions.reload : actions.stop;
+        if (action) {
+            action();
+        }
+    }
+
     boost::asio::signal_set signals;
-    std::function<void()> stop;
-    std::function<void()> dump;
+    signal_actions actions;
 };
 
-daemon_signals::daemon_signals(boost::asio::io_context &context, std::function<void()> stop, std::function<void()> dump)
-    : d(std::make_unique<impl>(context, std::move(stop), std::move(dump)))
+daemon_signals::daemon_signals(boost::asio::io_context &context, signal_actions actions)
+    : d(std::make_unique<impl>(context, std::move(actions)))
 {
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c): the call cannot fail for this signal
     d->await();
--- a/apps/sycamoretrayd/daemon_signals.h
+++ b/apps/sycamoretrayd/daemon_signals.h
@@ -11,15 +11,21 @@
 namespace sycamoretray
 {
 
+/** Functions that daemon_signals calls. Empty ones are ignored. */
+struct signal_actions {
+    /** SIGTERM and SIGINT. */
+    std::function<void()> stop;
+    /** SIGUSR1. */
+    std::function<void()> dump;
+    /** SIGHUP. */
+    std::function<void()> reload;
+};
+
 /** Calls functions on the io_context when the process gets a signal. SIGPIPE is ignored. */
 class daemon_signals
 {
 public:
-    /**
-     * @param stop  for SIGTERM and SIGINT
-     * @param dump  for SIGUSR1
-     */
-    daemon_signals(boost::asio::io_context &context, std::function<void()> stop, std::function<void()> dump);
+    daemon_signals(boost::asio::io_context &context, signal_actions actions);
     ~daemon_signals();
     daemon_signals(const daemon_signals &) = delete;
     daemon_signals &operator=(const daemon_signals &) = delete;
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -0,0 +1,150 @@
+#include "sycamoretrayd/gateway/endpoint_connections.h"
+
+#include "executor/steady_time.h"
+#include "http_client/http_connection_pool.h"
+#include "platform/order_codec.h"
+#include "platform/request_codec.h"
+
+#include <map>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+// Opening a connection takes 1 ms besides the way; one that takes this long meets an endpoint that is gone or cut off.
+constexpr time_span connectTimeout = std::chrono::milliseconds(300);
+// Half of the time after which endpoints close idle connections, so that both sides rarely close at once.
+constexpr time_span idleTimeout = std::chrono::seconds(5);
+// A request on a connection that went silent is repeated or given up after about this time.
+constexpr time_span silenceLimit = std::chrono::seconds(2);
+constexpr std::uint32_t mostConnections = 32;
+constexpr time_span grantTimeout = std::chrono::milliseconds(250);
+// An endpoint answers a release when its work on the keys has ended, which may take as long as the longest request.
+constexpr time_span releaseTimeout = std::chrono::seconds(3);
+constexpr time_span probeTimeout = std::chrono::milliseconds(500);
+constexpr time_span unusedTime = std::chrono::seconds(20);
+
+connection_pool_settings poolSettings()
+{
+    connection_pool_settings settings;
+    settings.maxConnections = mostConnections;
+    settings.spareConnections = 0;
+    settings.idleTimeout = idleTimeout;
+    settings.connectTimeout = connectTimeout;
+    settings.silenceLimit = silenceLimit;
+    settings.limits.bodyMayEndWithConnection = true;
+    return settings;
+}
+
+struct endpoint_pool {
+    std::unique_ptr<http_connection_pool> pool;
+    monotonic_time used;
+};
+
+struct open_attempt {
+    network_address address;
+    std::uint64_t exchange = 0;
+};
+
+} // namespace
+
+struct endpoint_connections::impl {
+    explicit impl(serial_executor givenExecutor)
+        : executor(std::move(givenExecutor))
+    {
+    }
+
+    serial_executor executor;
+    std::function<void(endpoint_attempt_id, endpoint_reply)> replied;
+    std::map<network_address, endpoint_pool> pools;
+    std::map<endpoint_attempt_id, open_attempt> attempts;
+
+    http_connection_pool &poolOf(const network_address &address)
+    {
+        endpoint_pool &entry = pools[address];
+        if (!entry.pool) {
+            entry.pool = std::make_unique<http_connection_pool>(executor, address, poolSettings());
+        }
+        entry.used = steadyNow();
+        return *entry.pool;
+    }
+
+    void sendOrder(order_id order, const endpoint_life &endpoint, std::string wire, time_span timeout, order_callback done)
+    {
+        poolOf(endpoint.address).exchange(std::move(wire), false, timeout, [order, done = std::move(done)](const http_exchange_result &result) {
+            done(order, platform::decodeOrderOutcome(result), platform::decodeHandover(result));
+        });
+    }
+};
+
+endpoint_connections::endpoint_connections(serial_executor executor)
+    : d(std::make_unique<impl>(std::move(executor)))
+{
+}
+
+endpoint_connections::~endpoint_connections() = default;
+
+void endpoint_connections::setReplyHandler(std::function<void(endpoint_attempt_id, endpoint_reply)> handler)
+{
+    d->replied = std::move(handler);
+}
+
+void endpoint_connections::send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft)
+{
+    const network_address &address = endpoint.life.address;
+    std::string wire = platform::encodeRequest(request, endpoint.life.endpoint, timeLeft);
+    const request_id id = request.id;
+    const auto done = [this, attempt, id](http_exchange_result result) {
+        d->attempts.erase(attempt);
+        d->replied(attempt, platform::decodeReply(std::move(result), id));
+    };
+    const auto belongs = [id](const http_response &response) {
+        return platform::belongsTo(response, id);
+    };
+    const std::uint64_t exchange = d->poolOf(address).exchange(std::move(wire), request.message.method == "HEAD", timeLeft, done, belongs);
+    d->attempts[attempt] = { address, exchange };
+}
+
+void endpoint_connections::abort(endpoint_attempt_id attempt)
+{
+    const auto found = d->attempts.find(attempt);
+    if (found == d->attempts.end()) {
+        return;
+    }
+    const open_attempt open = found->second;
+    d->attempts.erase(found);
+    d->poolOf(open.address).abort(open.exchange);
+}
+
+void endpoint_connections::send(const send_grant &order, order_callback done)
+{
+    d->sendOrder(order.order, order.endpoint, platform::encodeGrant(order), grantTimeout, std::move(done));
+}
+
+void endpoint_connections::send(const send_release &order, order_callback done)
+{
+    d->sendOrder(order.order, order.endpoint, platform::encodeRelease(order), releaseTimeout, std::move(done));
+}
+
+void endpoint_connections::send(const probe_endpoint &order, const std::string &healthPath, order_callback done)
+{
+    std::string wire = platform::encodeHealthCheck(order.endpoint, healthPath);
+    d->poolOf(order.endpoint.address)
+        .exchange(std::move(wire), false, probeTimeout, [id = order.order, done = std::move(done)](const http_exchange_result &result) {
+            // Any answer shows that the endpoint can be reached.
+            const order_outcome failed = result.sent ? order_outcome::unanswered : order_outcome::unsent;
+            done(id, result.code == result_code::ok ? order_outcome::accepted : failed, {});
+        });
+}
+
+void endpoint_connections::closeUnused(monotonic_time now)
+{
+    std::erase_if(d->pools, [&](const auto &item) {
+        return now - item.second.used > unusedTime;
+    });
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "executor/serial_executor.h"
+#include "gateway/gateway.h"
+#include "key_ownership/assigner_actions.h"
+
+#include <functional>
+#include <memory>
+
+namespace sycamoretray
+{
+
+/** Outcome of an order, and what a release returned. */
+using order_callback = std::function<void(order_id order, order_outcome outcome, std::string handover)>;
+
+/**
+ * Connections to endpoints, for callers' requests and for orders.
+ *
+ * Thread safety: none; all calls are made on the strand of the executor, and callbacks run on it.
+ */
+class endpoint_connections : public endpoint_port
+{
+public:
+    explicit endpoint_connections(serial_executor executor);
+    ~endpoint_connections() override;
+    endpoint_connections(const endpoint_connections &) = delete;
+    endpoint_connections &operator=(const endpoint_connections &) = delete;
+
+    /** Sets where outcomes of requests go. Call it before the first send(). */
+    void setReplyHandler(std::function<void(endpoint_attempt_id, endpoint_reply)> handler);
+
+    void send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft) override;
+    void abort(endpoint_attempt_id attempt) override;
+
+    void send(const send_grant &order, order_callback done);
+    void send(const send_release &order, order_callback done);
+    void send(const probe_endpoint &order, const std::string &healthPath, order_callback done);
+
+    /** Closes connections to endpoints that have not been used for a while. */
+    void closeUnused(monotonic_time now);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> d;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -0,0 +1,423 @@
+#include "sycamoretrayd/gateway/gateway_daemon.h"
+
+#include "executor/detail/serial_executor_state.h"
+#include "executor/steady_time.h"
+#include "gateway/gateway.h"
+#include "http_entry/http_server.h"
+#include "observability/event_log.h"
+#include "observability/metrics.h"
+#include "platform/request_codec.h"
+#include "platform/store_client.h"
+#include "sycamoretrayd/daemon_signals.h"
+#include "sycamoretrayd/gateway/endpoint_connections.h"
+#include "sycamoretrayd/gateway/internal_api.h"
+#include "sycamoretrayd/gateway/load_report_channel.h"
+#include "sycamoretrayd/gateway/ownership_runner.h"
+#include "sycamoretrayd/gateway/store_feeds.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <variant>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+constexpr std::uint32_t reportMilliseconds = 400;
+constexpr std::uint32_t upkeepMilliseconds = 200;
+// Descriptors for endpoints, the store, other instances and logs, out of those that the process may have.
+constexpr std::uint32_t otherDescriptors = 700;
+// The balancer takes an instance out of rotation after two failed checks, one a second.
+constexpr time_span rotationTime = std::chrono::milliseconds(2300);
+// Callers that keep connections open are told to open new ones, elsewhere, from then on.
+constexpr time_span keepConnectionsTime = std::chrono::milliseconds(900);
+// What is left at the end of the time to stop for answers to be read.
+constexpr time_span flushTime = std::chrono::milliseconds(250);
+constexpr time_span stopReserve = std::chrono::milliseconds(500);
+constexpr std::uint32_t stopPollMilliseconds = 50;
+
+std::string newIncarnation(const instance_id &instance)
+{
+    std::random_device device;
+    return instance.value() + "#" + std::to_string(device());
+}
+
+http_server_settings callerServerSettings(const gateway_daemon_settings &settings)
+{
+    http_server_settings result;
+    result.address = settings.callerAddress;
+    result.maxConnections = std::max(otherDescriptors, settings.descriptors) - otherDescriptors + 1;
+    constexpr std::uint64_t bodyBytes = 64ULL * 1024 * 1024;
+    result.limits.bodyBytes = bodyBytes;
+    return result;
+}
+
+http_server_settings readinessServerSettings(const gateway_daemon_settings &settings)
+{
+    http_server_settings result;
+    result.address = settings.readinessAddress;
+    constexpr std::uint32_t checkers = 64;
+    result.maxConnections = checkers;
+    return result;
+}
+
+gateway_settings gatewaySettings(const gateway_daemon_settings &settings)
+{
+    gateway_settings result;
+    result.instance = settings.instance;
+    result.zone = settings.zone;
+    result.retries = { settings.retryShare, settings.retrySlack, settings.retryWindow };
+    // Leaves time for the notice to arrive and for requests that are on their way.
+    result.drainTime = settings.drainLimit * 6 / 10;
+    return result;
+}
+
+} // namespace
+
+struct gateway_daemon::impl {
+    impl(gateway_daemon_settings givenSettings, std::string givenSettingsFile);
+
+    gateway_daemon_settings settings;
+    std::string settingsFile;
+    boost::asio::io_context context{ 1 };
+    serial_executor executor{ context };
+    boost::asio::steady_timer gatewayTimer{ executor.state().strand };
+    monotonic_time gatewayTimerAt = monotonic_time::max();
+    metrics_registry metrics;
+    platform::store_client store;
+    endpoint_connections endpoints;
+    gateway router;
+    store_feeds feeds;
+    assigner_stop_client stopClient;
+    ownership_runner ownership;
+    load_report_channel reports;
+    internal_api internal;
+    http_server callerServer;
+    http_server readinessServer;
+    daemon_signals signals;
+    bool stopping = false;
+    bool finished = false;
+    monotonic_time stopStarted{};
+    bool everReady = false;
+
+    int run();
+    void startTimers();
+
+    // --- callers ---
+
+    void receive(http_request request, std::shared_ptr<answer_slot> slot);
+    void submit(gateway_request request, const std::shared_ptr<answer_slot> &slot);
+    void answered(const std::shared_ptr<answer_slot> &slot, gateway_answer answer, const request_id &id, monotonic_time arrived);
+    void touched();
+
+    // --- state ---
+
+    bool isReady();
+    void upkeep();
+    void reportLoad();
+    std::string dump();
+    ownership_environment ownershipEnvironment();
+    feed_observer feedObserver();
+
+    // --- stop ---
+
+    void reload();
+    void stop();
+    bool continueStop();
+    void finish();
+};
+
+gateway_daemon::impl::impl(gateway_daemon_settings givenSettings, std::string givenSettingsFile)
+    : settings(std::move(givenSettings))
+    , settingsFile(std::move(givenSettingsFile))
+    , store(executor, settings.storeAddress)
+    , endpoints(executor)
+    , router(gatewaySettings(settings),
+             endpoints,
+             [](std::string_view event, const auto &fields) {
+                 logEvent(event, fields);
+             })
+    , feeds(store, executor, feedObserver())
+    , stopClient(executor)
+    , ownership(executor, { settings.instance, newIncarnation(settings.instance), settings.internalAddress, settings.memberTimeToLive }, ownershipEnvironment())
+    , reports(context,
+              settings.internalAddress,
+              [this](const load_report &report) {
+                  ownership.addLoad(report);
+              })
+    , internal(context,
+               executor,
+               settings.internalAddress,
+               metrics,
+               { [this] {
+                    return dump();
+                },
+                 [this](std::uint64_t epoch) {
+                     return ownership.stopBefore(epoch);
+                 } })
+    , callerServer(context,
+                   callerServerSettings(settings),
+                   [this](http_request request, std::shared_ptr<answer_slot> slot) {
+                       executor.dispatch([this, request = std::move(request), slot = std::move(slot)]() mutable {
+                           receive(std::move(request), std::move(slot));
+                       });
+                   })
+    , readinessServer(context,
+                      readinessServerSettings(settings),
+                      [this](const http_request & /*request*/, std::shared_ptr<answer_slot> slot) {
+                          executor.dispatch([this, slot = std::move(slot)] {
+                              http_response response;
+                              response.status = isReady() ? 200 : 503;
+                              slot->answer(std::move(response));
+                          });
+                      })
+    , signals(context,
+              { [this] {
+                   stop();
+               },
+                [this] {
+                    logText("state_dump", dump());
+                },
+                [this] {
+                    reload();
+                } })
+{
+    endpoints.setReplyHandler([this](endpoint_attempt_id attempt, endpoint_reply reply) {
+        router.replied(attempt, std::move(reply), steadyNow());
+        touched();
+    });
+    metrics.gauge("sycamoretray_requests_unfinished", [this] {
+        return static_cast<double>(router.unfinished());
+    });
+}
+
+ownership_environment gateway_daemon::impl::ownershipEnvironment()
+{
+    return { store, feeds, endpoints, [this](const network_address &assigner, std::uint64_t epoch, std::function<void(bool)> done) {
+                stopClient.ask(assigner, epoch, std::move(done));
+            } };
+}
+
+feed_observer gateway_daemon::impl::feedObserver()
+{
+    feed_observer observer;
+    observer.endpointsChanged = [this] {
+        router.setEndpoints(feeds.directory().endpoints(), steadyNow());
+        ownership.directoryChanged();
+        touched();
+    };
+    observer.routesChanged = [this] {
+        router.setRoutes(feeds.routes(), steadyNow());
+        ownership.directoryChanged();
+    };
+    observer.ownershipChanged = [this] {
+        router.setOwnership(feeds.ownership(), steadyNow());
+        touched();
+    };
+    return observer;
+}
+
+// --- callers ---
+
+void gateway_daemon::impl::receive(http_request request, std::shared_ptr<answer_slot> slot)
+{
+    metrics.counter("sycamoretray_requests_total").add();
+    auto decoded = platform::decodeRequest(std::move(request));
+    if (const auto *code = std::get_if<result_code>(&decoded)) {
+        logEvent("request_malformed", { { "code", std::string(resultName(*code)) } });
+        slot->answer(platform::encodeAnswer({ std::nullopt, *code, std::nullopt }, {}));
+        return;
+    }
+    submit(std::get<gateway_request>(std::move(decoded)), slot);
+    touched();
+}
+
+void gateway_daemon::impl::submit(gateway_request request, const std::shared_ptr<answer_slot> &slot)
+{
+    const monotonic_time now = steadyNow();
+    const auto answer = [this, slot, id = request.id, now](gateway_answer result) {
+        answered(slot, std::move(result), id, now);
+    };
+    const gateway_request_id id = router.submit(std::move(request), answer, now);
+    slot->onCallerGone([this, id] {
+        executor.dispatch([this, id] {
+            metrics.counter("sycamoretray_requests_cancelled_total").add();
+            router.cancel(id, steadyNow());
+            touched();
+        });
+    });
+}
+
+void gateway_daemon::impl::answered(const std::shared_ptr<answer_slot> &slot, gateway_answer answer, const request_id &id, monotonic_time arrived)
+{
+    const std::string result = answer.response ? "endpoint" : std::string(resultName(answer.code));
+    metrics.counter("sycamoretray_answers_total{result=\"" + result + "\"}").add();
+    const time_span taken = steadyNow() - arrived;
+    metrics.distribution("sycamoretray_request_seconds").record(std::chrono::duration<double>(taken).count());
+    slot->answer(platform::encodeAnswer(std::move(answer), id));
+}
+
+void gateway_daemon::impl::touched()
+{
+    const monotonic_time due = router.nextDue();
+    if (due >= gatewayTimerAt) {
+        return;
+    }
+    gatewayTimerAt = due;
+    gatewayTimer.expires_after(std::max<time_span>(time_span::zero(), due - steadyNow()));
+    gatewayTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        gatewayTimerAt = monotonic_time::max();
+        router.advance(steadyNow());
+        touched();
+    });
+}
+
+// --- state ---
+
+bool gateway_daemon::impl::isReady()
+{
+    const bool ready = !stopping && feeds.isComplete() && !feeds.directory().endpoints().empty();
+    if (ready && !std::exchange(everReady, true)) {
+        logEvent("instance_ready", { { "config", std::to_string(feeds.routes()->version()) } });
+    }
+    return ready;
+}
+
+void gateway_daemon::impl::upkeep()
+{
+    const monotonic_time now = steadyNow();
+    feeds.expire(now);
+    endpoints.closeUnused(now);
+    // Leaving endpoints get no requests after a time.
+    router.setEndpoints(feeds.directory().endpoints(), now);
+    touched();
+}
+
+void gateway_daemon::impl::reportLoad()
+{
+    for (load_report &report : router.takeLoadReports()) {
+        if (ownership.addLoad(report)) {
+            continue;
+        }
+        if (const ownership_record *record = feeds.ownership().record(report.service)) {
+            reports.send(record->assigner, std::move(report));
+        }
+    }
+}
+
+std::string gateway_daemon::impl::dump()
+{
+    return "{\"gateway\":" + router.dump(steadyNow()) + ",\"ownership\":" + ownership.dump() + "}";
+}
+
+// --- start and stop ---
+
+void gateway_daemon::impl::startTimers()
+{
+    executor.repeat(upkeepMilliseconds, [this] {
+        upkeep();
+        return !finished;
+    });
+    executor.repeat(reportMilliseconds, [this] {
+        reportLoad();
+        return !finished;
+    });
+}
+
+int gateway_daemon::impl::run()
+{
+    const std::pair<const char *, std::error_code> servers[] = {
+        { "caller_address", callerServer.start() },
+        { "readiness_address", readinessServer.start() },
+        { "internal_address", internal.start() },
+        { "internal_address", reports.start() },
+    };
+    for (const auto &[name, error] : servers) {
+        if (error) {
+            logEvent(event_severity::error, "cannot_listen", { { "setting", name }, { "error", error.message() } });
+            return 1;
+        }
+    }
+    logEvent("instance_started", { { "instance", settings.instance.value() }, { "zone", settings.zone.value() }, { "store", settings.storeAddress.value() } });
+    feeds.start();
+    ownership.start();
+    startTimers();
+    context.run();
+    logEvent("instance_stopped", { { "instance", settings.instance.value() } });
+    return 0;
+}
+
+void gateway_daemon::impl::reload()
+{
+    try {
+        const gateway_daemon_settings changed = readGatewaySettings(settingsFile);
+        const bool same = printGatewaySettings(changed) == printGatewaySettings(settings);
+        logEvent("settings_read", { { "file", settingsFile }, { "changed", same ? "false" : "true; takes effect at the next start" } });
+    } catch (const std::exception &error) {
+        logEvent(event_severity::error, "settings_invalid", { { "error", error.what() } });
+    }
+}
+
+void gateway_daemon::impl::stop()
+{
+    if (std::exchange(stopping, true)) {
+        return;
+    }
+    stopStarted = steadyNow();
+    logEvent("instance_stopping", { { "unfinished", std::to_string(router.unfinished()) } });
+    ownership.leave();
+    executor.repeat(stopPollMilliseconds, [this] {
+        return continueStop();
+    });
+}
+
+bool gateway_daemon::impl::continueStop()
+{
+    const time_span passed = steadyNow() - stopStarted;
+    if (passed >= keepConnectionsTime) {
+        callerServer.closeAfterAnswer();
+    }
+    if (passed >= rotationTime) {
+        callerServer.stopListening();
+    }
+    const bool idle = passed >= rotationTime + flushTime && router.unfinished() == 0;
+    if (idle || passed >= settings.stopLimit - stopReserve) {
+        finish();
+        return false;
+    }
+    return true;
+}
+
+void gateway_daemon::impl::finish()
+{
+    router.finishAll(steadyNow());
+    finished = true;
+    auto timer = std::make_shared<boost::asio::steady_timer>(executor.state().strand, flushTime);
+    timer->async_wait([this, timer](const boost::system::error_code & /*error*/) {
+        callerServer.stop();
+        context.stop();
+    });
+}
+
+gateway_daemon::gateway_daemon(gateway_daemon_settings settings, std::string settingsFile)
+    : d(std::make_unique<impl>(std::move(settings), std::move(settingsFile)))
+{
+}
+
+gateway_daemon::~gateway_daemon() = default;
+
+int gateway_daemon::run()
+{
+    return d->run();
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/internal_api.cpp
@@ -0,0 +1,132 @@
+#include "sycamoretrayd/gateway/internal_api.h"
+
+#include "http_client/http_connection_pool.h"
+#include "http_entry/error_answer.h"
+#include "http_message/http_writer.h"
+
+#include <charconv>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+constexpr std::string_view stopTarget = "/v1/assigner/stop?epoch=";
+constexpr std::uint32_t mostConnections = 128;
+constexpr time_span stopTimeout = std::chrono::milliseconds(250);
+constexpr std::uint32_t conflict = 409;
+
+http_server_settings serverSettings(const network_address &address)
+{
+    http_server_settings settings;
+    settings.address = address;
+    settings.maxConnections = mostConnections;
+    return settings;
+}
+
+http_response textAnswer(std::string type, std::string text)
+{
+    http_response response;
+    response.fields.push_back({ "Content-Type", std::move(type) });
+    response.body = std::move(text);
+    return response;
+}
+
+} // namespace
+
+struct internal_api::impl {
+    impl(boost::asio::io_context &context,
+         serial_executor executor,
+         const network_address &address,
+         const metrics_registry &givenMetrics,
+         internal_api_functions givenFunctions)
+        : metrics(&givenMetrics)
+        , functions(std::move(givenFunctions))
+        , server(context, serverSettings(address), [this, executor](const http_request &request, std::shared_ptr<answer_slot> slot) {
+            executor.post([this, request, slot = std::move(slot)] {
+                slot->answer(answer(request));
+            });
+        })
+    {
+    }
+
+    const metrics_registry *metrics;
+    internal_api_functions functions;
+    http_server server;
+
+    http_response answer(const http_request &request) const
+    {
+        if (request.method == "GET" && request.target == "/metrics") {
+            return textAnswer("text/plain; version=0.0.4", metrics->expose());
+        }
+        if (request.method == "GET" && request.target == "/state") {
+            return textAnswer("application/json", functions.dump());
+        }
+        if (request.method == "POST" && std::string_view(request.target).starts_with(stopTarget)) {
+            return stop(std::string_view(request.target).substr(stopTarget.size()));
+        }
+        return errorAnswer(result_code::unknown_name, {});
+    }
+
+    http_response stop(std::string_view text) const
+    {
+        std::uint64_t epoch = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), epoch);
+        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+            return errorAnswer(result_code::malformed_request, {});
+        }
+        http_response response;
+        response.status = functions.stopAssigningBefore(epoch) ? 200 : conflict;
+        return response;
+    }
+};
+
+internal_api::internal_api(boost::asio::io_context &context,
+                           serial_executor executor,
+                           const network_address &address,
+                           const metrics_registry &metrics,
+                           internal_api_functions functions)
+    : d(std::make_unique<impl>(context, std::move(executor), address, metrics, std::move(functions)))
+{
+}
+
+internal_api::~internal_api() = default;
+
+std::error_code internal_api::start()
+{
+    return d->server.start();
+}
+
+struct assigner_stop_client::impl {
+    serial_executor executor;
+    std::map<network_address, std::unique_ptr<http_connection_pool>> pools;
+};
+
+assigner_stop_client::assigner_stop_client(serial_executor executor)
+    : d(std::make_unique<impl>(impl{ std::move(executor), {} }))
+{
+}
+
+assigner_stop_client::~assigner_stop_client() = default;
+
+void assigner_stop_client::ask(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done)
+{
+    std::unique_ptr<http_connection_pool> &pool = d->pools[assigner];
+    if (!pool) {
+        connection_pool_settings settings;
+        settings.spareConnections = 0;
+        settings.connectTimeout = stopTimeout;
+        pool = std::make_unique<http_connection_pool>(d->executor, assigner, settings);
+    }
+    std::string wire;
+    appendRequest(wire, "POST", std::string(stopTarget) + std::to_string(epoch), { { "Host", assigner.value() } }, {}, {});
+    pool->exchange(std::move(wire), false, stopTimeout, [done = std::move(done)](const http_exchange_result &result) {
+        done(result.code == result_code::ok && result.response.status == 200);
+    });
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/internal_api.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/ids.h"
+#include "executor/serial_executor.h"
+#include "http_entry/http_server.h"
+#include "observability/metrics.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace sycamoretray
+{
+
+/** What the internal API answers with; called on the strand of the executor. */
+struct internal_api_functions {
+    std::function<std::string()> dump;
+    /** See ownership_runner::stopBefore(). */
+    std::function<bool(std::uint64_t epoch)> stopAssigningBefore;
+};
+
+/**
+ * HTTP interface for other instances and operators: GET /metrics, GET /state, POST /v1/assigner/stop?epoch=N.
+ *
+ * Thread safety: none; used on the strand of the executor.
+ */
+class internal_api
+{
+public:
+    internal_api(boost::asio::io_context &context,
+                 serial_executor executor,
+                 const network_address &address,
+                 const metrics_registry &metrics,
+                 internal_api_functions functions);
+    ~internal_api();
+    internal_api(const internal_api &) = delete;
+    internal_api &operator=(const internal_api &) = delete;
+
+    /** Starts to listen. Returns the error if the address cannot be used. */
+    std::error_code start();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> d;
+};
+
+/**
+ * Asks other instances to stop assigning keys.
+ *
+ * Thread safety: as for internal_api.
+ */
+class assigner_stop_client
+{
+public:
+    explicit assigner_stop_client(serial_executor executor);
+    ~assigner_stop_client();
+    assigner_stop_client(const assigner_stop_client &) = delete;
+    assigner_stop_client &operator=(const assigner_stop_client &) = delete;
+
+    void ask(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> d;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -0,0 +1,496 @@
+#include "sycamoretrayd/gateway/ownership_runner.h"
+
+#include "executor/steady_time.h"
+#include "key_ownership/key_assigner.h"
+#include "key_ownership/leadership_machine.h"
+#include "observability/event_log.h"
+#include "platform/topics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+// A third of the shortest time to live, so that one lost call does not cost the membership.
+constexpr int joinsPerTimeToLive = 3;
+constexpr std::uint32_t tickMilliseconds = 40;
+// Without a confirmation of its leadership for this long, an assigner stops renewing grants. Longer than the usual outage of the
+// store, so that keys stay served; a successor that cannot reach an endpoint waits for it.
+constexpr time_span leadershipValidity = std::chrono::seconds(8);
+// Changes are decided only while the store answers.
+constexpr time_span decisionValidity = std::chrono::milliseconds(1500);
+constexpr time_span appendRetryInterval = std::chrono::milliseconds(100);
+constexpr time_span stopQuestionInterval = std::chrono::milliseconds(300);
+constexpr const char *groupName = "sycamoretray";
+constexpr const char *producerName = "assigner";
+// The member that holds this partition of the ownership topic assigns the keys of all services.
+constexpr std::uint32_t leadingPartition = 0;
+
+} // namespace
+
+struct ownership_runner::impl : std::enable_shared_from_this<impl> {
+    impl(serial_executor givenExecutor, ownership_runner_settings givenSettings, ownership_environment givenEnvironment)
+        : executor(std::move(givenExecutor))
+        , settings(std::move(givenSettings))
+        , environment(std::move(givenEnvironment))
+    {
+    }
+
+    struct queued_write {
+        service_id service;
+        write_record write;
+    };
+
+    serial_executor executor;
+    ownership_runner_settings settings;
+    ownership_environment environment;
+    leadership_machine leadership;
+    std::map<service_id, std::unique_ptr<key_assigner>> assigners;
+    bool stopped = false;
+    bool joining = false;
+    bool storeFailed = false;
+    std::uint64_t generation = 0;
+    monotonic_time nextJoin{};
+    /** When the newest join that confirmed the leadership was sent. */
+    monotonic_time confirmed{};
+    std::uint64_t epoch = 0;
+    /** Highest epoch that any instance is known to have used. */
+    std::uint64_t highestEpoch = 0;
+    std::uint64_t nextSequence = 0;
+    log_offset claimEnd;
+    /** The assigner before this one. */
+    network_address earlier;
+    bool earlierStopped = true;
+    monotonic_time nextStopQuestion{};
+    std::deque<queued_write> writes;
+    bool writing = false;
+    monotonic_time nextWrite{};
+
+    bool leads() const
+    {
+        return leadership.phase() == leadership_phase::leading;
+    }
+
+    // --- membership ---
+
+    void tick()
+    {
+        const monotonic_time now = steadyNow();
+        if (!joining && now >= nextJoin) {
+            join(now);
+        }
+        if (leadership.phase() == leadership_phase::claiming) {
+            finishClaim();
+        }
+        if (leads()) {
+            askEarlierToStop(now);
+            act();
+        }
+    }
+
+    void join(monotonic_time now)
+    {
+        joining = true;
+        nextJoin = now + settings.memberTimeToLive / joinsPerTimeToLive;
+        environment.store.join(groupName,
+                               settings.incarnation,
+                               platform::ownershipTopic,
+                               settings.memberTimeToLive,
+                               generation,
+                               [weak = weak_from_this(), sent = now](const join_reply &reply) {
+                                   const auto self = weak.lock();
+                                   if (self && !self->stopped) {
+                                       self->joined(reply, sent);
+                                   }
+                               });
+    }
+
+    void joined(const join_reply &reply, monotonic_time sent)
+    {
+        joining = false;
+        if (reply.result != store_result::ok) {
+            if (!std::exchange(storeFailed, true)) {
+                logEvent(event_severity::warning, "membership_unconfirmed", { { "leading", leads() ? "true" : "false" } });
+            }
+            return;
+        }
+        if (std::exchange(storeFailed, false)) {
+            logEvent("membership_confirmed_again", { { "generation", std::to_string(reply.generation) } });
+            environment.feeds.restart();
+        }
+        generation = reply.generation;
+        const bool dealt = std::find(reply.partitions.begin(), reply.partitions.end(), leadingPartition) != reply.partitions.end();
+        if (dealt) {
+            confirmed = sent;
+        }
+        process(dealt ? leadership_event::partition_dealt : leadership_event::partition_taken);
+    }
+
+    // --- leadership ---
+
+    void process(leadership_event event)
+    {
+        if (!leadership.process(event)) {
+            return;
+        }
+        switch (leadership.phase()) {
+        case leadership_phase::following:
+            logEvent("assigner_stopped", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation) } });
+            assigners.clear();
+            writes.clear();
+            writing = false;
+            break;
+        case leadership_phase::claiming:
+            claim();
+            break;
+        case leadership_phase::leading:
+            lead();
+            break;
+        }
+    }
+
+    void claim()
+    {
+        highestEpoch = std::max({ highestEpoch, epoch, generation });
+        for (const auto &[service, record] : environment.feeds.ownership().records()) {
+            highestEpoch = std::max(highestEpoch, record.epoch);
+        }
+        epoch = ++highestEpoch;
+        claimEnd = log_offset(std::numeric_limits<std::uint64_t>::max());
+        logEvent("assigner_claims", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation) } });
+        environment.store.append(platform::ownershipTopic,
+                                 {},
+                                 {},
+                                 producer_position{ producerName, epoch, std::nullopt },
+                                 [weak = weak_from_this(), claimed = epoch](const append_reply &reply) {
+                                     const auto self = weak.lock();
+                                     if (self && !self->stopped && self->epoch == claimed) {
+                                         self->claimed(reply);
+                                     }
+                                 });
+    }
+
+    void claimed(const append_reply &reply)
+    {
+        if (leadership.phase() != leadership_phase::claiming) {
+            return;
+        }
+        if (reply.result != store_result::ok) {
+            // The next join starts another claim.
+            process(leadership_event::fenced);
+            return;
+        }
+        nextSequence = 0;
+        claimEnd = reply.end;
+        finishClaim();
+    }
+
+    /** Takes over once all records of earlier epochs are known. */
+    void finishClaim()
+    {
+        if (environment.feeds.isComplete() && environment.feeds.ownershipPosition() >= claimEnd) {
+            process(leadership_event::epoch_set);
+        }
+    }
+
+    void lead()
+    {
+        logEvent("assigner_started", { { "epoch", std::to_string(epoch) } });
+        earlier = network_address();
+        earlierStopped = true;
+        for (const auto &[service, record] : environment.feeds.ownership().records()) {
+            if (!record.resigned && !(record.assigner == settings.internalAddress)) {
+                earlier = record.assigner;
+                earlierStopped = false;
+            }
+        }
+        nextStopQuestion = {};
+        directoryChanged();
+    }
+
+    void askEarlierToStop(monotonic_time now)
+    {
+        if (earlierStopped || now < nextStopQuestion) {
+            return;
+        }
+        nextStopQuestion = now + stopQuestionInterval;
+        environment.askToStop(earlier, epoch, [weak = weak_from_this(), asked = epoch](bool answer) {
+            const auto self = weak.lock();
+            if (!answer || !self || self->stopped || self->epoch != asked || self->earlierStopped) {
+                return;
+            }
+            self->earlierStopped = true;
+            logEvent("earlier_assigner_stopped", { { "assigner", self->earlier.value() } });
+            for (const auto &[service, assigner] : self->assigners) {
+                assigner->earlierStopped(steadyNow());
+            }
+        });
+    }
+
+    // --- assigners ---
+
+    void directoryChanged()
+    {
+        if (!leads() || !environment.feeds.routes()) {
+            return;
+        }
+        const monotonic_time now = steadyNow();
+        for (const auto &[service, definition] : environment.feeds.routes()->services()) {
+            if (definition.dividedByKey) {
+                assignerOf(service, now).setEndpoints(endpointsOf(service), now);
+            }
+        }
+        act();
+    }
+
+    key_assigner &assignerOf(const service_id &service, monotonic_time now)
+    {
+        std::unique_ptr<key_assigner> &assigner = assigners[service];
+        if (!assigner) {
+            assigner = std::make_unique<key_assigner>(service, assigner_settings());
+            const ownership_record *record = environment.feeds.ownership().record(service);
+            assigner->start(record != nullptr ? std::optional(*record) : std::nullopt,
+                            epoch,
+                            settings.internalAddress,
+                            earlierStopped ? time_span::zero() : leadershipValidity,
+                            now);
+        }
+        return *assigner;
+    }
+
+    std::vector<listed_endpoint> endpointsOf(const service_id &service) const
+    {
+        std::vector<listed_endpoint> result;
+        for (const auto &[id, endpoint] : environment.feeds.directory().endpoints()) {
+            if (endpoint.entry.service == service) {
+                result.push_back(endpoint);
+            }
+        }
+        return result;
+    }
+
+    void act()
+    {
+        const monotonic_time now = steadyNow();
+        if (now - confirmed > leadershipValidity) {
+            return;
+        }
+        const bool mayDecide = now - confirmed < decisionValidity;
+        for (const auto &[service, assigner] : assigners) {
+            for (const assigner_action &action : assigner->act(mayDecide, now)) {
+                std::visit(
+                    [&](const auto &each) {
+                        perform(service, each);
+                    },
+                    action);
+            }
+        }
+        writeNext();
+    }
+
+    order_callback orderCallback(const service_id &service)
+    {
+        return [weak = weak_from_this(), service, sentIn = epoch](order_id order, order_outcome outcome, std::string handover) {
+            const auto self = weak.lock();
+            if (!self || self->stopped || self->epoch != sentIn || !self->leads()) {
+                return;
+            }
+            const auto found = self->assigners.find(service);
+            if (found != self->assigners.end()) {
+                found->second->orderDone(order, outcome, std::move(handover), steadyNow());
+                self->act();
+            }
+        };
+    }
+
+    void perform(const service_id &service, const send_grant &action)
+    {
+        environment.endpoints.send(action, orderCallback(service));
+    }
+
+    void perform(const service_id &service, const send_release &action)
+    {
+        environment.endpoints.send(action, orderCallback(service));
+    }
+
+    void perform(const service_id &service, const probe_endpoint &action)
+    {
+        const service_definition *definition = environment.feeds.routes()->service(service);
+        environment.endpoints.send(action, definition != nullptr ? definition->healthPath : "/", orderCallback(service));
+    }
+
+    static void perform(const service_id & /*service*/, const note_decision &action)
+    {
+        logEvent(action.event, action.fields);
+    }
+
+    void perform(const service_id &service, const write_record &action)
+    {
+        writes.push_back({ service, action });
+    }
+
+    // --- writing ---
+
+    void writeNext()
+    {
+        if (writing || writes.empty() || steadyNow() < nextWrite) {
+            return;
+        }
+        writing = true;
+        const queued_write &next = writes.front();
+        environment.store.append(platform::ownershipTopic,
+                                 next.service.value(),
+                                 encodeOwnershipRecord(next.write.record),
+                                 producer_position{ producerName, epoch, nextSequence },
+                                 [weak = weak_from_this(), sentIn = epoch](const append_reply &reply) {
+                                     const auto self = weak.lock();
+                                     if (self && !self->stopped && self->epoch == sentIn && self->leads()) {
+                                         self->written(reply);
+                                     }
+                                 });
+    }
+
+    void written(const append_reply &reply)
+    {
+        writing = false;
+        switch (reply.result) {
+        case store_result::ok:
+            finishWrite(true);
+            break;
+        case store_result::unknown:
+            // The same append is repeated: the store executes it once at most.
+            nextWrite = steadyNow() + appendRetryInterval / 2;
+            break;
+        case store_result::fenced:
+        case store_result::out_of_sequence:
+            logEvent(event_severity::warning, "assigner_superseded", { { "epoch", std::to_string(epoch) } });
+            process(leadership_event::fenced);
+            return;
+        case store_result::unavailable:
+            nextWrite = steadyNow() + appendRetryInterval;
+            break;
+        case store_result::expired:
+        case store_result::rejected:
+            logEvent(event_severity::error, "ownership_record_rejected", { { "service", writes.front().service.value() } });
+            nextWrite = steadyNow() + appendRetryInterval;
+            break;
+        }
+        act();
+    }
+
+    void finishWrite(bool success)
+    {
+        const queued_write done = std::move(writes.front());
+        writes.pop_front();
+        ++nextSequence;
+        const auto found = assigners.find(done.service);
+        if (found != assigners.end()) {
+            found->second->recordWritten(done.write.revision, success, steadyNow());
+        }
+        environment.feeds.applyOwnership(done.write.record);
+    }
+
+    // --- end ---
+
+    void leave()
+    {
+        if (stopped) {
+            return;
+        }
+        if (leads() && writes.empty()) {
+            // A successor need not wait for grants of a resigned assigner.
+            for (const auto &[service, assigner] : assigners) {
+                environment.store.append(platform::ownershipTopic,
+                                         service.value(),
+                                         encodeOwnershipRecord(assigner->resignation()),
+                                         producer_position{ producerName, epoch, nextSequence++ },
+                                         [](const append_reply &) {});
+            }
+        }
+        stopped = true;
+        assigners.clear();
+        environment.store.leave(groupName, settings.incarnation);
+        logEvent("group_left", { { "epoch", std::to_string(epoch) } });
+    }
+};
+
+ownership_runner::ownership_runner(serial_executor executor, ownership_runner_settings settings, ownership_environment environment)
+    : d(std::make_shared<impl>(std::move(executor), std::move(settings), std::move(environment)))
+{
+}
+
+ownership_runner::~ownership_runner()
+{
+    d->stopped = true;
+}
+
+void ownership_runner::start()
+{
+    d->executor.repeat(tickMilliseconds, [weak = d->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->stopped) {
+            return false;
+        }
+        self->tick();
+        return true;
+    });
+}
+
+void ownership_runner::leave()
+{
+    d->leave();
+}
+
+void ownership_runner::directoryChanged()
+{
+    d->directoryChanged();
+}
+
+bool ownership_runner::addLoad(const load_report &report)
+{
+    const auto found = d->assigners.find(report.service);
+    if (found == d->assigners.end()) {
+        return false;
+    }
+    found->second->addLoad(report, steadyNow());
+    return true;
+}
+
+bool ownership_runner::stopBefore(std::uint64_t epoch)
+{
+    if (d->epoch >= epoch) {
+        return false;
+    }
+    d->highestEpoch = std::max(d->highestEpoch, epoch);
+    d->process(leadership_event::fenced);
+    return true;
+}
+
+std::string ownership_runner::dump() const
+{
+    nlohmann::json services = nlohmann::json::object();
+    for (const auto &[service, assigner] : d->assigners) {
+        nlohmann::json ranges = nlohmann::json::array();
+        for (const key_assignment &each : assigner->current().assignments) {
+            ranges.push_back({ { "first", each.keys.first },
+                               { "last", each.keys.last },
+                               { "owner", each.owner.endpoint.value() },
+                               { "token", each.token.value() },
+                               { "settled", each.settled },
+                               { "other_holders", each.otherHolders.size() } });
+        }
+        services[service.value()] = std::move(ranges);
+    }
+    const nlohmann::json document = { { "leads", d->leads() }, { "epoch", d->epoch }, { "generation", d->generation }, { "services", std::move(services) } };
+    return document.dump(1);
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/ids.h"
+#include "executor/serial_executor.h"
+#include "key_ownership/key_load.h"
+#include "metadata_store/metadata_store.h"
+#include "sycamoretrayd/gateway/endpoint_connections.h"
+#include "sycamoretrayd/gateway/store_feeds.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace sycamoretray
+{
+
+struct ownership_runner_settings {
+    instance_id instance;
+    /** Distinguishes this process from earlier ones of the instance. */
+    std::string incarnation;
+    network_address internalAddress;
+    time_span memberTimeToLive{};
+};
+
+/** What an ownership_runner works with; all of it outlives the runner. */
+struct ownership_environment {
+    metadata_store &store;
+    store_feeds &feeds;
+    endpoint_connections &endpoints;
+    /** Asks the assigner at an address to stop if its epoch is lower; the result says whether it certainly sends nothing more. */
+    std::function<void(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done)> askToStop;
+};
+
+/**
+ * This instance's part in assigning keys: membership in the group, leadership, and the assigners of all services while leading.
+ *
+ * Thread safety: none; used on the strand of its executor.
+ */
+class ownership_runner
+{
+public:
+    ownership_runner(serial_executor executor, ownership_runner_settings settings, ownership_environment environment);
+    ~ownership_runner();
+    ownership_runner(const ownership_runner &) = delete;
+    ownership_runner &operator=(const ownership_runner &) = delete;
+
+    void start();
+
+    /** Stops assigning and leaves the group. */
+    void leave();
+
+    /** The endpoints or the services changed. */
+    void directoryChanged();
+
+    /** Takes a report if this instance assigns keys; returns whether it did. */
+    bool addLoad(const load_report &report);
+
+    /**
+     * Another instance with @p epoch assigns keys now. Returns whether this instance sends nothing more by an earlier epoch.
+     */
+    bool stopBefore(std::uint64_t epoch);
+
+    /** Returns the state as JSON. */
+    std::string dump() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> d;
+};
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -0,0 +1,227 @@
+#include "sycamoretrayd/gateway/store_feeds.h"
+
+#include "executor/steady_time.h"
+#include "metadata_store/keyed_topic_follower.h"
+#include "observability/event_log.h"
+#include "platform/configuration_codec.h"
+#include "platform/endpoint_codec.h"
+#include "platform/topics.h"
+
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+// Endpoints register again within about two seconds of the store's return.
+constexpr time_span returnGrace = std::chrono::milliseconds(2200);
+
+} // namespace
+
+struct store_feeds::impl {
+    impl(metadata_store &store, const serial_executor &executor, feed_observer givenObserver)
+        : observer(std::move(givenObserver))
+        , directory(returnGrace)
+        , endpointFeed(store, platform::endpointTopic, executor, {}, endpointObserver())
+        , configurationFeed(store, platform::operatorTopic, executor, {}, configurationObserver())
+        , ownershipFeed(store, platform::ownershipTopic, executor, {}, ownershipObserver())
+    {
+    }
+
+    feed_observer observer;
+    endpoint_directory directory;
+    ownership_view ownership;
+    std::shared_ptr<const request_routes> routes;
+    bool endpointsListed = false;
+    bool ownershipListed = false;
+    keyed_topic_follower endpointFeed;
+    keyed_topic_follower configurationFeed;
+    keyed_topic_follower ownershipFeed;
+
+    static directory_record endpointRecord(const keyed_record &record)
+    {
+        std::string problem;
+        directory_record decoded = platform::decodeEndpoint(record, problem);
+        if (!problem.empty()) {
+            logEvent(event_severity::warning, "endpoint_entry_unreadable", { { "endpoint", record.key }, { "problem", problem } });
+        }
+        return decoded;
+    }
+
+    topic_observer endpointObserver()
+    {
+        topic_observer result;
+        result.listed = [this](const std::vector<keyed_record> &records, log_offset end) {
+            std::vector<directory_record> listing;
+            for (const keyed_record &record : records) {
+                directory_record decoded = endpointRecord(record);
+                if (decoded.entry) {
+                    listing.push_back(std::move(decoded));
+                }
+            }
+            endpointsListed = true;
+            directory.applyListing(listing, end, steadyNow());
+            observer.endpointsChanged();
+        };
+        result.appended = [this](const std::vector<keyed_record> &records) {
+            bool changed = false;
+            for (const keyed_record &record : records) {
+                const directory_record decoded = endpointRecord(record);
+                if (directory.apply(decoded, steadyNow())) {
+                    changed = true;
+                    logEvent("endpoint_changed",
+                             { { "endpoint", record.key },
+                               { "state",
+                                 !decoded.entry                ? "removed"
+                                     : decoded.entry->draining ? "draining"
+                                                               : "ready" },
+                               { "offset", std::to_string(record.offset.value()) } });
+                }
+            }
+            if (changed) {
+                observer.endpointsChanged();
+            }
+        };
+        result.lost = [this] {
+            directory.sourceLost();
+        };
+        result.returned = [this] {
+            directory.sourceReturned(steadyNow());
+        };
+        return result;
+    }
+
+    void takeConfiguration(const std::vector<keyed_record> &records)
+    {
+        bool changed = false;
+        for (const keyed_record &record : records) {
+            if (record.key != platform::configurationKey || !record.value) {
+                continue;
+            }
+            std::string problem;
+            auto decoded = platform::decodeConfiguration(*record.value, problem);
+            if (!decoded) {
+                logEvent(event_severity::error, "configuration_unreadable", { { "problem", problem } });
+            } else if (!routes || decoded->version() > routes->version()) {
+                logEvent("configuration_taken", { { "version", std::to_string(decoded->version()) }, { "routes", std::to_string(decoded->routes().size()) } });
+                routes = std::move(decoded);
+                changed = true;
+            }
+        }
+        if (changed) {
+            observer.routesChanged();
+        }
+    }
+
+    topic_observer configurationObserver()
+    {
+        topic_observer result;
+        result.listed = [this](const std::vector<keyed_record> &records, log_offset /*end*/) {
+            takeConfiguration(records);
+        };
+        result.appended = [this](const std::vector<keyed_record> &records) {
+            takeConfiguration(records);
+        };
+        result.lost = [] {};
+        result.returned = [] {};
+        return result;
+    }
+
+    void takeOwnership(const std::vector<keyed_record> &records)
+    {
+        bool changed = false;
+        for (const keyed_record &record : records) {
+            if (!record.value) {
+                continue;
+            }
+            auto decoded = decodeOwnershipRecord(*record.value);
+            if (!decoded) {
+                logEvent(event_severity::error, "ownership_record_unreadable", { { "key", record.key } });
+                continue;
+            }
+            changed = ownership.apply(std::move(*decoded)) || changed;
+        }
+        if (changed) {
+            observer.ownershipChanged();
+        }
+    }
+
+    topic_observer ownershipObserver()
+    {
+        topic_observer result;
+        result.listed = [this](const std::vector<keyed_record> &records, log_offset /*end*/) {
+            ownershipListed = true;
+            takeOwnership(records);
+        };
+        result.appended = [this](const std::vector<keyed_record> &records) {
+            takeOwnership(records);
+        };
+        result.lost = [] {};
+        result.returned = [] {};
+        return result;
+    }
+};
+
+store_feeds::store_feeds(metadata_store &store, serial_executor executor, feed_observer observer)
+    : d(std::make_unique<impl>(store, executor, std::move(observer)))
+{
+}
+
+store_feeds::~store_feeds() = default;
+
+void store_feeds::start()
+{
+    d->endpointFeed.start();
+    d->configurationFeed.start();
+    d->ownershipFeed.start();
+}
+
+void store_feeds::restart()
+{
+    d->endpointFeed.restart();
+    d->configurationFeed.restart();
+    d->ownershipFeed.restart();
+}
+
+void store_feeds::expire(monotonic_time now)
+{
+    if (d->directory.expire(now)) {
+        d->observer.endpointsChanged();
+    }
+}
+
+void store_feeds::applyOwnership(const ownership_record &record)
+{
+    if (d->ownership.apply(record)) {
+        d->observer.ownershipChanged();
+    }
+}
+
+const endpoint_directory &store_feeds::directory() const noexcept
+{
+    return d->directory;
+}
+
+const ownership_view &store_feeds::ownership() const noexcept
+{
+    return d->ownership;
+}
+
+const std::shared_ptr<const request_routes> &store_feeds::routes() const noexcept
+{
+    return d->routes;
+}
+
+bool store_feeds::isComplete() const noexcept
+{
+    return d->endpointsListed && d->ownershipListed && d->routes;
+}
+
+log_offset store_feeds::ownershipPosition() const noexcept
+{
+    return d->ownershipFeed.position();
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/store_feeds.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "directory/endpoint_directory.h"
+#include "directory/request_routes.h"
+#include "executor/serial_executor.h"
+#include "key_ownership/ownership_view.h"
+#include "metadata_store/metadata_store.h"
+
+#include <functional>
+#include <memory>
+
+namespace sycamoretray
+{
+
+/** What changed, told on the strand of the executor. */
+struct feed_observer {
+    std::function<void()> endpointsChanged;
+    std::function<void()> routesChanged;
+    std::function<void()> ownershipChanged;
+};
+
+/**
+ * Keeps the endpoints, the configuration and the ownership records as the metadata store has them.
+ *
+ * Thread safety: none; used on the strand of its executor.
+ */
+class store_feeds
+{
+public:
+    store_feeds(metadata_store &store, serial_executor executor, feed_observer observer);
+    ~store_feeds();
+    store_feeds(const store_feeds &) = delete;
+    store_feeds &operator=(const store_feeds &) = delete;
+
+    void start();
+
+    /** The store answers again after a failure: reads whose connections may be dead are started anew. */
+    void restart();
+
+    /** Removes endpoints that did not register again after the store was away. */
+    void expire(monotonic_time now);
+
+    /** Takes a record that this instance has written, ahead of the feed. */
+    void applyOwnership(const ownership_record &record);
+
+    const endpoint_directory &directory() const noexcept;
+    const ownership_view &ownership() const noexcept;
+    /** Empty before the first configuration. */
+    const std::shared_ptr<const request_routes> &routes() const noexcept;
+    /** All endpoints and ownership records that existed at the start are known. */
+    bool isComplete() const noexcept;
+    /** Offset up to which ownership records are known. */
+    log_offset ownershipPosition() const noexcept;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> d;
+};
+
+} // namespace sycamoretray
--- a/apps/sycamoretrayd/instance_daemon.cpp
+++ b/apps/sycamoretrayd/instance_daemon.cpp
@@ -190,16 +190,16 @@
         controlContext, adminServerSettings(settings), [this](const http_request &request, const std::shared_ptr<answer_slot> &slot) {
             admin->handle(request, slot);
         });
-    signalHandler = std::make_unique<daemon_signals>(
-        controlContext,
-        [this] {
-            requestStop();
-        },
-        [this] {
-            admin->dump([](const std::string &text) {
-                logText("state_dump", text);
-            });
-        });
+    signalHandler = std::make_unique<daemon_signals>(controlContext,
+                                                     signal_actions{ [this] {
+                                                                        requestStop();
+                                                                    },
+                                                                     [this] {
+                                                                         admin->dump([](const std::string &text) {
+                                                                             logText("state_dump", text);
+                                                                         });
+                                                                     },
+                                                                     {} });
 }
 
 void instance_daemon::impl::exposeGauges()
--- a/apps/sycamoretrayd/main.cpp
+++ b/apps/sycamoretrayd/main.cpp
@@ -1,12 +1,16 @@
 #include "observability/event_log.h"
 #include "settings/daemon_settings.h"
+#include "settings/gateway_daemon_settings.h"
+#include "sycamoretrayd/gateway/gateway_daemon.h"
 #include "sycamoretrayd/instance_daemon.h"
 
 #include <docopt/docopt.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <map>
 #include <stdexcept>
 
 namespace
@@ -17,10 +21,13 @@
 Usage:
   sycamoretrayd --settings=FILE
   sycamoretrayd --settings=FILE --print-settings
+  sycamoretrayd gateway [--settings=FILE] [--print-settings]
   sycamoretrayd (-h | --help)
 
+With "gateway", servers register with the platform and own the keys that they are granted; docs/platform.md describes it.
+
 Options:
-  --settings=FILE   Settings in JSON; docs/settings.md lists the names.
+  --settings=FILE   Settings in JSON; docs/settings.md lists the names. For "gateway", SYCAMORETRAY_CONFIG names the file otherwise.
   --print-settings  Print the settings with all defaults, and exit.
   -h --help         Show this text.
 
@@ -63,12 +70,33 @@
     return token;
 }
 
+/** Runs "sycamoretrayd gateway". */
+int runGateway(std::map<std::string, docopt::value> &options, const char *program)
+{
+    const char *fromEnvironment = std::getenv("SYCAMORETRAY_CONFIG"); // NOLINT(concurrency-mt-unsafe): no other thread runs yet
+    if (!options["--settings"].isString() && fromEnvironment == nullptr) {
+        throw std::runtime_error("no settings file: name one with --settings or in SYCAMORETRAY_CONFIG");
+    }
+    const std::string file = options["--settings"].isString() ? options["--settings"].asString() : fromEnvironment;
+    const auto settings = sycamoretray::readGatewaySettings(file);
+    if (options["--print-settings"].asBool()) {
+        std::cout << sycamoretray::printGatewaySettings(settings);
+        return 0;
+    }
+    sycamoretray::startEventLog(program);
+    sycamoretray::gateway_daemon daemon(settings, file);
+    return daemon.run();
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     try {
         auto options = docopt::docopt(usage, { argv + 1, argv + argc }, true);
+        if (options["gateway"].asBool()) {
+            return runGateway(options, argv[0]);
+        }
         const auto settings = sycamoretray::readDaemonSettings(options["--settings"].asString());
         if (options["--print-settings"].asBool()) {
             std::cout << sycamoretray::printDaemonSettings(settings) << "\n";
--- a/libs/base/ids.h
+++ b/libs/base/ids.h
@@ -22,6 +22,12 @@
 /** A server: "<service_id>/<endpoint name>", unique in a deployment. */
 using server_id = strong_value<struct server_id_tag, std::string>;
 
+/** Name of an endpoint in the platform's directory. It may name several lives of the endpoint, one after another. */
+using endpoint_id = strong_value<struct endpoint_id_tag, std::string>;
+
+/** Number from 0 to 65535 that a request to a service divided by key carries; ownership is granted for ranges of it. */
+using key_number = strong_value<struct key_number_tag, std::uint16_t>;
+
 /** IPv4 or IPv6 number and port, "127.0.0.1:8080". */
 using network_address = strong_value<struct network_address_tag, std::string>;
 
--- /dev/null
+++ b/libs/directory/endpoint_directory.cpp
@@ -0,0 +1,114 @@
+#include "directory/endpoint_directory.h"
+
+#include <set>
+
+namespace sycamoretray
+{
+
+endpoint_directory::endpoint_directory(time_span returnGrace)
+    : m_returnGrace(returnGrace)
+{
+}
+
+bool endpoint_directory::apply(const directory_record &record, monotonic_time now)
+{
+    const auto known = m_endpoints.find(record.id);
+    if (known != m_endpoints.end() && record.offset < known->second.offset) {
+        return false;
+    }
+    // A late registration of a life that was already replaced.
+    if (known != m_endpoints.end() && record.entry && record.entry->life.startedAtMs < known->second.entry.life.startedAtMs) {
+        return false;
+    }
+    return record.entry ? put(record, now) : remove(record.id, now);
+}
+
+bool endpoint_directory::applyListing(const std::vector<directory_record> &listing, log_offset end, monotonic_time now)
+{
+    bool changed = false;
+    std::set<endpoint_id> listed;
+    for (const directory_record &record : listing) {
+        listed.insert(record.id);
+        changed = apply(record, now) || changed;
+    }
+    std::vector<endpoint_id> removed;
+    for (const auto &[id, known] : m_endpoints) {
+        if (!listed.contains(id) && known.offset < end && !known.missingUntil) {
+            removed.push_back(id);
+        }
+    }
+    for (const endpoint_id &id : removed) {
+        changed = remove(id, now) || changed;
+    }
+    return changed;
+}
+
+bool endpoint_directory::put(const directory_record &record, monotonic_time now)
+{
+    const endpoint_entry &entry = *record.entry;
+    const auto [position, inserted] = m_endpoints.try_emplace(record.id);
+    listed_endpoint &known = position->second;
+    const bool sameState = !inserted && known.entry.life == entry.life && known.entry.draining == entry.draining;
+    const bool unchanged = sameState && known.entry.life.address == entry.life.address && known.entry.service == entry.service && known.entry.zone == entry.zone
+        && known.entry.workerSlots == entry.workerSlots && !known.missingUntil;
+    known.entry = entry;
+    known.offset = record.offset;
+    known.missingUntil.reset();
+    if (!sameState) {
+        known.stateSince = now;
+    }
+    return !unchanged;
+}
+
+bool endpoint_directory::remove(const endpoint_id &id, monotonic_time now)
+{
+    const auto known = m_endpoints.find(id);
+    if (known == m_endpoints.end()) {
+        return false;
+    }
+    const bool inGrace = m_sourceLost || (m_graceUntil && now < *m_graceUntil);
+    // An endpoint that announced its leaving does not register again.
+    if (inGrace && !known->second.entry.draining) {
+        if (!known->second.missingUntil) {
+            known->second.missingUntil = m_sourceLost ? monotonic_time::max() : *m_graceUntil;
+        }
+        return false;
+    }
+    m_endpoints.erase(known);
+    return true;
+}
+
+void endpoint_directory::sourceLost()
+{
+    m_sourceLost = true;
+}
+
+void endpoint_directory::sourceReturned(monotonic_time now)
+{
+    if (!m_sourceLost) {
+        return;
+    }
+    m_sourceLost = false;
+    m_graceUntil = now + m_returnGrace;
+    for (auto &[id, known] : m_endpoints) {
+        if (known.missingUntil) {
+            known.missingUntil = m_graceUntil;
+        }
+    }
+}
+
+bool endpoint_directory::expire(monotonic_time now)
+{
+    return std::erase_if(m_endpoints,
+                         [&](const auto &item) {
+                             return item.second.missingUntil && now >= *item.second.missingUntil;
+                         })
+        > 0;
+}
+
+const std::map<endpoint_id, listed_endpoint> &endpoint_directory::endpoints() const noexcept
+{
+    return m_endpoints;
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/directory/request_routes.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/monotonic_time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sycamoretray
+{
+
+/** One part of the traffic of a route. */
+struct route_target {
+    service_id service;
+    /** Share relative to the other targets of the route; not negative. */
+    double weight = 1;
+};
+
+struct request_route {
+    std::string name;
+    /** Host name in lower case. */
+    std::string host;
+    /** Begins and ends with a slash. */
+    std::string pathPrefix;
+    /** At least one. */
+    std::vector<route_target> targets;
+    /** Requests may run more than once. */
+    bool idempotent = false;
+    /** Longest time that a caller is kept waiting. */
+    time_span timeout = std::chrono::seconds(1);
+    /** Time within which an answer has its full value. */
+    time_span latencyTarget = std::chrono::seconds(1);
+    /** Most endpoints on which one request may run. */
+    std::uint32_t maxAttempts = 1;
+    /** Rank among the requests of a service; 0 is the most urgent. */
+    std::uint32_t priority = 0;
+};
+
+struct service_definition {
+    /** Path of the endpoints' health check. */
+    std::string healthPath;
+    std::uint32_t maxConnections = 100;
+    /** Endpoints own ranges of keys and refuse requests for other keys. */
+    bool dividedByKey = false;
+};
+
+/**
+ * Routes and services of one configuration version. Immutable after construction.
+ *
+ * Thread safety: const access from any thread.
+ */
+class request_routes
+{
+public:
+    request_routes(std::uint64_t version, std::vector<request_route> routes, std::map<service_id, service_definition> services);
+
+    std::uint64_t version() const noexcept;
+
+    /**
+     * Returns the route of @p host with the longest prefix of @p path, or nullptr.
+     *
+     * @param host  as in the Host field; a port and the case of letters are ignored
+     * @param path  without the query
+     */
+    const request_route *find(std::string_view host, std::string_view path) const;
+
+    const std::vector<request_route> &routes() const noexcept;
+    const std::map<service_id, service_definition> &services() const noexcept;
+
+    /** Returns the definition of @p service, or nullptr. */
+    const service_definition *service(const service_id &service) const;
+
+private:
+    std::uint64_t m_version = 0;
+    std::vector<request_route> m_routes;
+    std::map<service_id, service_definition> m_services;
+    /** Indexes of the routes of a host, longest prefix first. */
+    std::map<std::string, std::vector<std::size_t>, std::less<>> m_hosts;
+};
+
+} // namespace sycamoretray
--- a/libs/documents/document_reader.cpp
+++ b/libs/documents/document_reader.cpp
@@ -61,6 +61,18 @@
     return found->get<std::uint64_t>();
 }
 
+double document_reader::realNumber(const std::string &name, double fallback, double minimum, double maximum)
+{
+    const nlohmann::json *found = find(name, false);
+    if (found == nullptr) {
+        return fallback;
+    }
+    if (!found->is_number() || found->get<double>() < minimum || found->get<double>() > maximum) {
+        fail(name, *found, "write a number from " + nlohmann::json(minimum).dump() + " to " + nlohmann::json(maximum).dump());
+    }
+    return found->get<double>();
+}
+
 std::chrono::milliseconds document_reader::milliseconds(const std::string &name, std::chrono::microseconds fallback)
 {
     constexpr std::uint64_t longest = std::chrono::milliseconds(std::chrono::hours(24)).count();
--- a/libs/documents/document_reader.h
+++ b/libs/documents/document_reader.h
@@ -39,6 +39,8 @@
                                  std::uint64_t minimum = 0,
                                  std::uint64_t maximum = std::numeric_limits<std::uint32_t>::max());
 
+    double realNumber(const std::string &name, double fallback, double minimum, double maximum);
+
     /** Returns a duration that is written in milliseconds: at least 1 ms, at most a day. */
     std::chrono::milliseconds milliseconds(const std::string &name, std::chrono::microseconds fallback);
 
--- a/libs/executor/steady_time.cpp
+++ b/libs/executor/steady_time.cpp
@@ -1,11 +1,16 @@
 #include "executor/steady_time.h"
 
+#include <ctime>
+
 namespace sycamoretray
 {
 
 monotonic_time steadyNow() noexcept
 {
-    return monotonic_time(std::chrono::duration_cast<time_span>(std::chrono::steady_clock::now().time_since_epoch()));
+    // CLOCK_MONOTONIC stands still while a machine is suspended, so that leases would seem younger than they are.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return monotonic_time(std::chrono::duration_cast<time_span>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 wall_time wallNow() noexcept
--- /dev/null
+++ b/libs/gateway/endpoint_gate.cpp
@@ -0,0 +1,150 @@
+#include "gateway/endpoint_gate.h"
+
+#include <algorithm>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+// A load report says little about the endpoint once its requests of that time have ended.
+constexpr time_span reportLifetime = std::chrono::seconds(1);
+// Requests under way while the endpoint reports free slots. All instances may see the same free slot.
+constexpr std::uint32_t mostWithFreeSlots = 2;
+// Endpoints that cannot be reached are left alone for a short time, which grows with each failure.
+constexpr time_span firstBlock = std::chrono::milliseconds(50);
+constexpr time_span longestBlock = std::chrono::milliseconds(800);
+constexpr double slownessWeight = 0.15;
+constexpr double leastSlowness = 0.2;
+constexpr double mostSlowness = 10;
+
+} // namespace
+
+endpoint_gate::endpoint_gate(const listed_endpoint &endpoint)
+{
+    update(endpoint);
+}
+
+void endpoint_gate::update(const listed_endpoint &endpoint)
+{
+    m_entry = endpoint.entry;
+    m_listed = true;
+    m_coldUntil = endpoint.stateSince + endpoint.entry.coldFor;
+}
+
+bool endpoint_gate::isListed() const noexcept
+{
+    return m_listed;
+}
+
+void endpoint_gate::unlist()
+{
+    m_listed = false;
+}
+
+const endpoint_entry &endpoint_gate::entry() const noexcept
+{
+    return m_entry;
+}
+
+bool endpoint_gate::takesNewWork(monotonic_time now) const noexcept
+{
+    return m_listed && !m_entry.draining && hasRoom(now);
+}
+
+bool endpoint_gate::hasRoom(monotonic_time now) const noexcept
+{
+    if (now < m_blockedUntil) {
+        return false;
+    }
+    if (m_inFlight == 0) {
+        return true;
+    }
+    const bool freeSlots = m_reportedAt && now - *m_reportedAt < reportLifetime && m_report.running + m_report.waiting < m_report.workerSlots;
+    return freeSlots && m_inFlight < mostWithFreeSlots;
+}
+
+monotonic_time endpoint_gate::blockedUntil() const noexcept
+{
+    return m_blockedUntil;
+}
+
+std::uint32_t endpoint_gate::inFlight() const noexcept
+{
+    return m_inFlight;
+}
+
+double endpoint_gate::estimatedLoad(monotonic_time now) const noexcept
+{
+    double others = 0;
+    if (m_reportedAt) {
+        const double age = static_cast<double>((now - *m_reportedAt).count()) / static_cast<double>(reportLifetime.count());
+        const double reported = m_report.running + m_report.waiting;
+        others = std::max(0.0, reported - m_ownInReport) * std::max(0.0, 1 - age);
+    }
+    return m_inFlight + others;
+}
+
+double endpoint_gate::slowness() const noexcept
+{
+    return m_slowness;
+}
+
+time_span endpoint_gate::expectedTime(time_span usual, monotonic_time now) const noexcept
+{
+    constexpr double coldFactor = 2;
+    const double slots = std::max(1U, m_entry.workerSlots);
+    const double queued = std::max(0.0, estimatedLoad(now) + 1 - slots);
+    const double service = m_slowness * (now < m_coldUntil ? coldFactor : 1.0);
+    return std::chrono::duration_cast<time_span>(usual * (service * (1 + queued / slots)));
+}
+
+void endpoint_gate::sent()
+{
+    ++m_inFlight;
+}
+
+void endpoint_gate::answered(const endpoint_reply &reply, time_span taken, time_span usual, monotonic_time now)
+{
+    --m_inFlight;
+    m_failuresInRow = 0;
+    m_blockedUntil = {};
+    takeReport(reply, now);
+    const bool waited = m_report.waiting > 0;
+    // A request that may have waited says nothing about the speed of the endpoint unless it was fast all the same.
+    const double ratio = static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, usual.count()));
+    if (!waited || ratio < m_slowness) {
+        m_slowness = std::clamp(m_slowness + slownessWeight * (ratio - m_slowness), leastSlowness, mostSlowness);
+    }
+}
+
+void endpoint_gate::failed(const endpoint_reply &reply, monotonic_time now)
+{
+    --m_inFlight;
+    takeReport(reply, now);
+    ++m_failuresInRow;
+    if (reply.kind == reply_kind::not_run && reply.sent && !reply.misdirected) {
+        // The endpoint is full, not lost.
+        m_blockedUntil = now + firstBlock;
+        return;
+    }
+    const std::uint32_t doublings = std::min(m_failuresInRow - 1, 4U);
+    m_blockedUntil = now + std::min(longestBlock, firstBlock * (1U << doublings));
+}
+
+void endpoint_gate::aborted()
+{
+    --m_inFlight;
+}
+
+void endpoint_gate::takeReport(const endpoint_reply &reply, monotonic_time now)
+{
+    if (reply.load) {
+        m_report = *reply.load;
+        m_ownInReport = m_inFlight;
+        m_reportedAt = now;
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/gateway/work_recorder.cpp
@@ -0,0 +1,43 @@
+#include "gateway/work_recorder.h"
+
+#include <utility>
+
+namespace sycamoretray
+{
+
+void work_recorder::demanded(const service_id &service, key_number key, time_span work)
+{
+    m_services[service].keys[key] += work;
+}
+
+void work_recorder::answered(const service_id &service, const endpoint_id &endpoint, time_span measured, time_span expected)
+{
+    endpoint_work &work = m_services[service].endpoints[endpoint];
+    ++work.requests;
+    work.measured += measured;
+    work.expected += expected;
+}
+
+void work_recorder::failed(const service_id &service, const endpoint_id &endpoint)
+{
+    ++m_services[service].endpoints[endpoint].failures;
+}
+
+std::vector<load_report> work_recorder::take(const instance_id &instance)
+{
+    std::vector<load_report> reports;
+    for (auto &[service, work] : std::exchange(m_services, {})) {
+        load_report report{ instance, service, {}, {} };
+        for (const auto &[key, demand] : work.keys) {
+            report.keys.push_back({ key, demand });
+        }
+        for (auto &[endpoint, measured] : work.endpoints) {
+            measured.endpoint = endpoint;
+            report.endpoints.push_back(measured);
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace sycamoretray
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -2,16 +2,43 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace sycamoretray::detail
 {
 
-client_connection::client_connection(const strand_type &strand, observer &pool, const http_limits &limits)
+client_connection::client_connection(const strand_type &strand, observer &pool, const connection_pool_settings &settings)
     : m_socket(strand)
     , m_pool(&pool)
-    , m_parser(limits)
+    , m_parser(settings.limits)
+    , m_silenceLimit(settings.silenceLimit)
+{
+}
+
+void client_connection::setOptions()
 {
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    if (m_silenceLimit == time_span::zero()) {
+        return;
+    }
+    // Half of the limit passes before the first probe, the rest until the connection counts as dead.
+    using option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using idle_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using interval_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using count_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(m_silenceLimit);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(m_silenceLimit);
+    const int idleSeconds = std::max(1, static_cast<int>(seconds.count() / 2));
+    m_socket.set_option(option(static_cast<int>(limit.count())), ignored);
+    m_socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    m_socket.set_option(idle_option(idleSeconds), ignored);
+    m_socket.set_option(interval_option(1), ignored);
+    m_socket.set_option(count_option(std::max(1, static_cast<int>(seconds.count()) - idleSeconds)), ignored);
 }
 
 void client_connection::connect(const boost::asio::ip::tcp::endpoint &endpoint)
@@ -25,8 +52,7 @@
             self->m_pool->connectFailed(*self);
             return;
         }
-        boost::system::error_code ignored;
-        self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        self->setOptions();
         self->m_connected = true;
         self->readMore();
         self->m_pool->connected(*self);
@@ -54,9 +80,17 @@
 {
     http_exchange_result result;
     result.code = code;
+    reset();
     finish(std::move(result), false);
 }
 
+void client_connection::reset()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void client_connection::close()
 {
     m_closed = true;
@@ -78,7 +112,7 @@
         return;
     }
     if (error) {
-        connectionEnded();
+        connectionEnded(error);
         return;
     }
     if (!m_busy) {
@@ -99,36 +133,58 @@
         m_unparsed.append(data);
         data = m_unparsed;
     }
-    while (!data.empty() && m_parser.state() == http_parse_state::need_more) {
-        const std::size_t used = m_parser.feed(data);
-        data.remove_prefix(used);
-        if (used == 0) {
+    std::size_t position = 0;
+    while (position < data.size() && m_parser.state() == http_parse_state::need_more) {
+        const std::size_t used = m_parser.feed(data.substr(position));
+        position += used;
+        if (m_parser.state() == http_parse_state::complete && !takeResponse(position < data.size())) {
+            continue;
+        }
+        if (used == 0 || !m_busy) {
             break;
         }
     }
-    if (m_parser.state() == http_parse_state::need_more) {
-        m_unparsed = std::string(data);
-        return;
-    }
-    if (m_parser.state() == http_parse_state::failed) {
+    if (!m_busy) {
+        m_unparsed.clear();
+    } else if (m_parser.state() == http_parse_state::failed) {
         fail(m_parser.error());
-        return;
+    } else {
+        m_unparsed = std::string(data.substr(position));
     }
+}
+
+/** Ends the exchange with the complete response. Returns false if the response belongs to another request and was skipped. */
+bool client_connection::takeResponse(bool moreData)
+{
     http_exchange_result result;
     result.response = m_parser.take();
-    const bool reusable = result.response.keepAlive && data.empty() && !m_writing;
-    m_unparsed.clear();
+    if (m_exchange.belongs && m_finished > 0 && !m_exchange.belongs(result.response)) {
+        m_tainted = true;
+        m_parser.reset(m_exchange.headRequest);
+        return false;
+    }
+    const bool reusable = result.response.keepAlive && !moreData && !m_writing && !m_tainted;
+    ++m_finished;
     finish(std::move(result), reusable);
+    return true;
 }
 
-void client_connection::connectionEnded()
+void client_connection::connectionEnded(const boost::system::error_code &error)
 {
+    if (m_busy && error == boost::asio::error::eof) {
+        m_parser.endOfConnection();
+        if (m_parser.state() == http_parse_state::complete) {
+            takeResponse(false);
+        }
+    }
     if (m_busy) {
         fail(m_parser.started() ? result_code::answer_truncated : result_code::server_connection_lost);
         return;
     }
-    close();
-    m_pool->closedIdle(*this);
+    if (!m_closed) {
+        close();
+        m_pool->closedIdle(*this);
+    }
 }
 
 void client_connection::finish(http_exchange_result result, bool reusable)
--- a/libs/http_client/detail/client_connection.h
+++ b/libs/http_client/detail/client_connection.h
@@ -21,6 +21,7 @@
     bool headRequest = false;
     monotonic_time deadline;
     http_connection_pool::callback done;
+    http_connection_pool::filter belongs;
 };
 
 /**
@@ -45,7 +46,7 @@
         virtual void closedIdle(client_connection &connection) = 0;
     };
 
-    client_connection(const strand_type &strand, observer &pool, const http_limits &limits);
+    client_connection(const strand_type &strand, observer &pool, const connection_pool_settings &settings);
 
     void connect(const boost::asio::ip::tcp::endpoint &endpoint);
 
@@ -58,6 +59,9 @@
     /** Closes the connection without telling the pool. */
     void close();
 
+    /** As close(), and discards what the peer has not received yet. */
+    void reset();
+
     bool isConnected() const noexcept
     {
         return m_connected;
@@ -80,7 +84,9 @@
     void readMore();
     void received(const boost::system::error_code &error, std::size_t size);
     void parseReceived(std::string_view data);
-    void connectionEnded();
+    bool takeResponse(bool moreData);
+    void connectionEnded(const boost::system::error_code &error);
+    void setOptions();
     void finish(http_exchange_result result, bool reusable);
 
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand_type> m_socket;
@@ -94,6 +100,11 @@
     bool m_busy = false;
     bool m_writing = false;
     bool m_closed = false;
+    time_span m_silenceLimit;
+    /** Exchanges that ended on this connection. */
+    std::uint32_t m_finished = 0;
+    /** A response that belonged to no request was seen, so that more may follow. */
+    bool m_tainted = false;
 };
 
 } // namespace sycamoretray::detail
--- a/libs/http_client/http_connection_pool.cpp
+++ b/libs/http_client/http_connection_pool.cpp
@@ -21,8 +21,8 @@
 namespace
 {
 
-// Leases time out after a few hundred milliseconds, so the sweep that finds them must be much finer.
-constexpr std::chrono::milliseconds sweepInterval(10);
+// Deadlines are met to within this time; several that are close together cost one wake-up.
+constexpr std::chrono::milliseconds sweepGrain(2);
 // A server that refuses or closes connections is not asked more often than this for spare ones.
 constexpr std::chrono::milliseconds spareRetryInterval(100);
 
@@ -43,6 +43,8 @@
     bool addressValid = false;
     bool closed = false;
     bool sweeping = false;
+    /** Time for which the timer is set while sweeping is true. */
+    monotonic_time sweepAt;
     std::uint64_t lastId = 0;
     monotonic_time spareRetryAt;
     boost::asio::steady_timer sweepTimer;
@@ -60,7 +62,7 @@
 
     void openOne()
     {
-        auto connection = std::make_shared<client_connection>(executor.state().strand, *this, settings.limits);
+        auto connection = std::make_shared<client_connection>(executor.state().strand, *this, settings);
         connection->deadline = steadyNow() + settings.connectTimeout;
         connections.push_back(connection);
         connection->connect(endpoint);
@@ -146,6 +148,7 @@
             remove(connection);
         }
         serveWaiting();
+        armSweep();
         exchange.done(std::move(result));
     }
 
@@ -155,15 +158,18 @@
         remove(connection);
         spareRetryAt = steadyNow() + spareRetryInterval;
         openMissing();
+        armSweep();
     }
 
     void armSweep()
     {
-        if (sweeping || closed) {
+        const monotonic_time next = closed ? monotonic_time::max() : nextDeadline();
+        if (next == monotonic_time::max() || (sweeping && sweepAt <= next)) {
             return;
         }
         sweeping = true;
-        sweepTimer.expires_after(sweepInterval);
+        sweepAt = next;
+        sweepTimer.expires_after(std::max<time_span>(next - steadyNow(), sweepGrain));
         sweepTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
             const auto self = weak.lock();
             if (!error && self && !self->closed) {
@@ -188,9 +194,25 @@
             return;
         }
         openMissing();
-        if (!connections.empty() || !waiting.empty() || settings.spareConnections > 0) {
-            armSweep();
+        armSweep();
+    }
+
+    monotonic_time nextDeadline() const
+    {
+        monotonic_time next = monotonic_time::max();
+        for (const auto &connection : connections) {
+            const bool kept = connection->isConnected() && !connection->isBusy() && idle.size() <= settings.spareConnections;
+            if (!kept) {
+                next = std::min(next, connection->isBusy() ? connection->exchange().deadline : connection->deadline);
+            }
+        }
+        for (const pending_exchange &exchange : waiting) {
+            next = std::min(next, exchange.deadline);
+        }
+        if (addressValid && idle.size() + connectingCount() < settings.spareConnections) {
+            next = std::min(next, std::max<monotonic_time>(spareRetryAt, steadyNow()));
         }
+        return next;
     }
 
     void expireWaiting(monotonic_time now)
@@ -255,7 +277,7 @@
     d->armSweep();
 }
 
-std::uint64_t http_connection_pool::exchange(std::string wire, bool headRequest, time_span timeout, callback done)
+std::uint64_t http_connection_pool::exchange(std::string wire, bool headRequest, time_span timeout, callback done, filter belongs)
 {
     const std::uint64_t id = ++d->lastId;
     if (!d->addressValid) {
@@ -269,7 +291,7 @@
         });
         return id;
     }
-    pending_exchange exchange{ id, std::move(wire), headRequest, steadyNow() + timeout, std::move(done) };
+    pending_exchange exchange{ id, std::move(wire), headRequest, steadyNow() + timeout, std::move(done), std::move(belongs) };
     if (d->waiting.empty() && !d->idle.empty()) {
         client_connection *connection = d->idle.back();
         d->idle.pop_back();
@@ -290,7 +312,7 @@
     for (const auto &connection : d->connections) {
         if (connection->isBusy() && connection->exchange().id == exchange) {
             const auto kept = connection;
-            kept->close();
+            kept->reset();
             d->remove(*kept);
             d->serveWaiting();
             return;
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -21,6 +21,8 @@
     /** Idle connections beyond the spare ones are closed after this time. */
     time_span idleTimeout = std::chrono::seconds(10);
     time_span connectTimeout = std::chrono::seconds(1);
+    /** A connection whose peer does not acknowledge data or keep-alive probes for about this time is closed; 0 leaves it to the system. */
+    time_span silenceLimit{};
     http_limits limits;
 };
 
@@ -45,6 +47,7 @@
 {
 public:
     using callback = std::function<void(http_exchange_result)>;
+    using filter = std::function<bool(const http_response &)>;
 
     http_connection_pool(serial_executor executor, const network_address &address, connection_pool_settings settings);
 
@@ -61,12 +64,14 @@
      *
      * @param wire  the request in wire format
      * @param headRequest  the response has no body whatever its header says
-     * @param timeout  time until the exchange is given up and its connection closed
+     * @param timeout  time until the exchange is given up and its connection reset
+     * @param belongs  says whether a response is meant for this request. On a connection that was used before, others are
+     *                 skipped, because the server may have sent a second response to an earlier request.
      * @return an id for abort()
      */
-    std::uint64_t exchange(std::string wire, bool headRequest, time_span timeout, callback done);
+    std::uint64_t exchange(std::string wire, bool headRequest, time_span timeout, callback done, filter belongs = nullptr);
 
-    /** Gives up an exchange and closes its connection; its callback is not called. Unknown ids are ignored. */
+    /** Gives up an exchange and resets its connection; its callback is not called. Unknown ids are ignored. */
     void abort(std::uint64_t exchange);
 
     std::uint32_t openConnections() const noexcept;
--- a/libs/http_message/http_parser.cpp
+++ b/libs/http_message/http_parser.cpp
@@ -166,7 +166,7 @@
             fail(ec);
             return used;
         }
-        if (!isRequest && parser->is_header_done() && parser->need_eof()) {
+        if (!isRequest && !limits.bodyMayEndWithConnection && parser->is_header_done() && parser->need_eof()) {
             state = http_parse_state::failed;
             error = result_code::answer_truncated;
         } else if (parser->is_done()) {
@@ -275,6 +275,21 @@
     return d->error;
 }
 
+void http_response_parser::endOfConnection()
+{
+    if (d->state != http_parse_state::need_more || !d->parser->is_header_done() || !d->parser->need_eof()) {
+        return;
+    }
+    beast::error_code ec;
+    d->parser->put_eof(ec);
+    if (ec) {
+        d->fail(ec);
+        return;
+    }
+    d->parser->message.keepAlive = false;
+    d->state = http_parse_state::complete;
+}
+
 bool http_response_parser::started() const noexcept
 {
     return d->parser->started;
--- a/libs/http_message/http_parser.h
+++ b/libs/http_message/http_parser.h
@@ -15,6 +15,8 @@
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 16ULL * 1024 * 1024;
     std::uint32_t fields = 100;
+    /** Accept responses without Content-Length or chunked coding, whose body ends with the connection. */
+    bool bodyMayEndWithConnection = false;
 };
 
 enum class http_parse_state {
@@ -62,8 +64,8 @@
 };
 
 /**
- * Incremental parser of responses. A response without Content-Length or chunked coding fails with answer_truncated, because
- * its completeness cannot be checked.
+ * Incremental parser of responses. A response without Content-Length or chunked coding fails with answer_truncated unless the
+ * limits allow it, because its completeness cannot be checked.
  *
  * Thread safety: none.
  */
@@ -86,6 +88,9 @@
     /** malformed_message, answer_truncated, header_too_large or body_too_large if state() is failed. */
     result_code error() const noexcept;
 
+    /** The connection was closed in order. Completes a response whose body ends with the connection. */
+    void endOfConnection();
+
     /** True once a byte of the response has been seen. */
     bool started() const noexcept;
 
--- /dev/null
+++ b/libs/key_ownership/key_load.cpp
@@ -0,0 +1,159 @@
+#include "key_ownership/key_load.h"
+
+#include "documents/cbor.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// A hot key lasts a few seconds: averages have to follow within one and still smooth over single requests.
+constexpr double halfLifeSeconds = 1.2;
+// Counts of a key add up to rate x (half-life / ln 2).
+constexpr double averagingSeconds = halfLifeSeconds / 0.6931;
+// Ageing touches every key, so it is not done on each call.
+constexpr time_span advanceInterval = std::chrono::milliseconds(200);
+constexpr double leastSlowness = 0.3;
+constexpr double mostSlowness = 6;
+// Requests after which the measured slowness counts as much as the assumption that the endpoint is of usual speed.
+constexpr double assumedRequests = 3;
+constexpr time_span instanceForgottenAfter = std::chrono::seconds(5);
+
+double seconds(time_span span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+std::string encodeLoadReport(const load_report &report)
+{
+    json keys = json::array();
+    for (const key_demand &each : report.keys) {
+        keys.push_back(each.key.value());
+        keys.push_back(each.work.count());
+    }
+    json endpoints = json::array();
+    for (const endpoint_work &each : report.endpoints) {
+        endpoints.push_back(json::array({ each.endpoint.value(), each.requests, each.measured.count(), each.expected.count(), each.failures }));
+    }
+    return encodeCbor(json::array({ report.instance.value(), report.service.value(), std::move(keys), std::move(endpoints) }));
+}
+
+std::optional<load_report> decodeLoadReport(std::string_view data)
+{
+    try {
+        const json document = decodeCbor(data);
+        load_report report;
+        report.instance = instance_id(document.at(0).get<std::string>());
+        report.service = service_id(document.at(1).get<std::string>());
+        const json &keys = document.at(2);
+        for (std::size_t i = 0; i + 1 < keys.size(); i += 2) {
+            report.keys.push_back({ key_number(keys.at(i).get<std::uint16_t>()), time_span(keys.at(i + 1).get<std::int64_t>()) });
+        }
+        for (const json &row : document.at(3)) {
+            report.endpoints.push_back({ endpoint_id(row.at(0).get<std::string>()),
+                                         row.at(1).get<std::uint32_t>(),
+                                         time_span(row.at(2).get<std::int64_t>()),
+                                         time_span(row.at(3).get<std::int64_t>()),
+                                         row.at(4).get<std::uint32_t>() });
+        }
+        return report;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+key_load::key_load()
+    : m_demand(keyCount)
+{
+}
+
+void key_load::add(const load_report &report, monotonic_time now)
+{
+    for (const key_demand &each : report.keys) {
+        m_demand[each.key.value()] += static_cast<float>(seconds(each.work) / averagingSeconds);
+    }
+    for (const endpoint_work &each : report.endpoints) {
+        endpoint_average &average = m_endpoints[each.endpoint];
+        average.measured += seconds(each.measured);
+        average.expected += seconds(each.expected);
+        average.requests += each.requests;
+        average.failures += each.failures;
+    }
+    m_instances[report.instance] = now;
+}
+
+void key_load::advance(monotonic_time now)
+{
+    if (!m_advanced) {
+        m_advanced = now;
+        return;
+    }
+    if (now - *m_advanced < advanceInterval) {
+        return;
+    }
+    const double decay = std::exp2(-seconds(now - *m_advanced) / halfLifeSeconds);
+    m_advanced = now;
+    for (float &each : m_demand) {
+        each *= static_cast<float>(decay);
+    }
+    for (auto &[id, average] : m_endpoints) {
+        average.measured *= decay;
+        average.expected *= decay;
+        average.requests *= decay;
+        average.failures *= decay;
+    }
+    std::erase_if(m_endpoints, [](const auto &item) {
+        constexpr double forgotten = 0.001;
+        return item.second.requests + item.second.failures < forgotten;
+    });
+    std::erase_if(m_instances, [&](const auto &item) {
+        return now - item.second > instanceForgottenAfter;
+    });
+}
+
+double key_load::demand(key_range keys) const
+{
+    return std::accumulate(m_demand.begin() + keys.first, m_demand.begin() + keys.last + 1, 0.0);
+}
+
+double key_load::demand(std::uint32_t key) const
+{
+    return m_demand[key];
+}
+
+double key_load::slowness(const endpoint_id &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end() || found->second.requests <= 0 || found->second.expected <= 0) {
+        return 1;
+    }
+    const double assumed = assumedRequests * found->second.expected / found->second.requests;
+    return std::clamp((found->second.measured + assumed) / (found->second.expected + assumed), leastSlowness, mostSlowness);
+}
+
+double key_load::failureShare(const endpoint_id &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return 0;
+    }
+    return found->second.failures / (found->second.requests + found->second.failures + assumedRequests);
+}
+
+std::uint32_t key_load::instances() const noexcept
+{
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(m_instances.size()));
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/key_ownership/ownership_record.cpp
@@ -0,0 +1,143 @@
+#include "key_ownership/ownership_record.h"
+
+#include "documents/cbor.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// Lives are written once and referred to by index, because most appear in several assignments.
+class life_table
+{
+public:
+    int add(const endpoint_life &life)
+    {
+        if (life.endpoint.value().empty()) {
+            return -1;
+        }
+        const auto [position, inserted] = m_indexes.try_emplace(life, static_cast<int>(m_indexes.size()));
+        if (inserted) {
+            m_rows.push_back(json::array({ life.endpoint.value(), life.startedAtMs, life.address.value() }));
+        }
+        return position->second;
+    }
+
+    const json &rows() const
+    {
+        return m_rows;
+    }
+
+private:
+    std::map<endpoint_life, int> m_indexes;
+    json m_rows = json::array();
+};
+
+endpoint_life lifeAt(const json &rows, int index)
+{
+    if (index < 0) {
+        return {};
+    }
+    const json &row = rows.at(static_cast<std::size_t>(index));
+    return { endpoint_id(row.at(0).get<std::string>()), row.at(1).get<std::uint64_t>(), network_address(row.at(2).get<std::string>()) };
+}
+
+bool coversEveryKey(const std::vector<key_assignment> &assignments)
+{
+    std::uint32_t next = 0;
+    for (const key_assignment &each : assignments) {
+        if (each.keys.first != next || each.keys.last < each.keys.first || each.keys.last >= keyCount) {
+            return false;
+        }
+        next = each.keys.last + 1;
+    }
+    return next == keyCount;
+}
+
+json encodeAssignment(const key_assignment &assignment, life_table &lives)
+{
+    json others = json::array();
+    for (const endpoint_life &life : assignment.otherHolders) {
+        others.push_back(lives.add(life));
+    }
+    const auto lapse = std::chrono::duration_cast<std::chrono::milliseconds>(assignment.lapse).count();
+    return json::array({ assignment.keys.last,
+                         lives.add(assignment.owner),
+                         assignment.token.value(),
+                         assignment.releaseToken.value(),
+                         assignment.settled,
+                         std::move(others),
+                         lapse });
+}
+
+key_assignment decodeAssignment(const json &row, const json &lives, std::uint32_t first)
+{
+    key_assignment result;
+    result.keys = { first, row.at(0).get<std::uint32_t>() };
+    result.owner = lifeAt(lives, row.at(1).get<int>());
+    result.token = fencing_token(row.at(2).get<std::uint64_t>());
+    result.releaseToken = fencing_token(row.at(3).get<std::uint64_t>());
+    result.settled = row.at(4).get<bool>();
+    result.lapse = std::chrono::milliseconds(row.at(6).get<std::int64_t>());
+    for (const json &other : row.at(5)) {
+        result.otherHolders.push_back(lifeAt(lives, other.get<int>()));
+    }
+    return result;
+}
+
+} // namespace
+
+std::string encodeOwnershipRecord(const ownership_record &record)
+{
+    life_table lives;
+    json rows = json::array();
+    for (const key_assignment &each : record.assignments) {
+        rows.push_back(encodeAssignment(each, lives));
+    }
+    const json document = json::array({ record.service.value(),
+                                        record.epoch,
+                                        record.assigner.value(),
+                                        record.resigned,
+                                        record.instances,
+                                        record.nextToken,
+                                        lives.rows(),
+                                        std::move(rows),
+                                        record.revision });
+    return encodeCbor(document);
+}
+
+std::optional<ownership_record> decodeOwnershipRecord(std::string_view data)
+{
+    try {
+        const json document = decodeCbor(data);
+        ownership_record record;
+        record.service = service_id(document.at(0).get<std::string>());
+        record.epoch = document.at(1).get<std::uint64_t>();
+        record.assigner = network_address(document.at(2).get<std::string>());
+        record.resigned = document.at(3).get<bool>();
+        record.instances = std::max(1U, document.at(4).get<std::uint32_t>());
+        record.nextToken = document.at(5).get<std::uint64_t>();
+        record.revision = document.at(8).get<std::uint64_t>();
+        std::uint32_t first = 0;
+        for (const json &row : document.at(7)) {
+            record.assignments.push_back(decodeAssignment(row, document.at(6), first));
+            first = record.assignments.back().keys.last + 1;
+        }
+        if (!coversEveryKey(record.assignments)) {
+            return std::nullopt;
+        }
+        return record;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/metadata_store/metadata_store.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/monotonic_time.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamoretray
+{
+
+/** How a call to the store ended. */
+enum class store_result {
+    ok,
+    /** The call certainly had no effect: refused, rate limited, or never sent. */
+    unavailable,
+    /** There was no reply; the call may have been executed, or may be executed later. */
+    unknown,
+    /** The records asked for were deleted. */
+    expired,
+    /** A producer with a higher epoch has written. */
+    fenced,
+    /** The sequence number does not follow the last one of this producer. */
+    out_of_sequence,
+    /** The store refuses the call as invalid. */
+    rejected,
+};
+
+/** Newest record of a key, or a record of a keyed topic. */
+struct keyed_record {
+    std::string key;
+    /** No value: the key was removed. */
+    std::optional<std::string> value;
+    log_offset offset;
+};
+
+struct keyed_read {
+    store_result result = store_result::unknown;
+    std::vector<keyed_record> records;
+    /** Offset after the last record that the topic holds. */
+    log_offset end;
+    /** Offset at which the next read continues. */
+    log_offset next;
+};
+
+struct keyed_listing {
+    store_result result = store_result::unknown;
+    std::vector<keyed_record> records;
+    bool more = false;
+    log_offset end;
+};
+
+/** Identifies an append, so that a repeat has no second effect and a superseded writer is refused. */
+struct producer_position {
+    std::string producer;
+    std::uint64_t epoch = 0;
+    /** No value: only sets the epoch. */
+    std::optional<std::uint64_t> sequence;
+};
+
+struct append_reply {
+    store_result result = store_result::unknown;
+    log_offset end;
+    /** Set if the result is out_of_sequence. */
+    std::uint64_t expectedSequence = 0;
+};
+
+struct join_reply {
+    store_result result = store_result::unknown;
+    std::uint64_t generation = 0;
+    /** Partitions of the topic that this member holds. */
+    std::vector<std::uint32_t> partitions;
+};
+
+/**
+ * Linearizable store of keyed topics and groups, which outlives every instance.
+ *
+ * Thread safety: none; all calls are made on one strand, and callbacks run on it, never from within the call.
+ */
+class metadata_store
+{
+public:
+    virtual ~metadata_store() = default;
+
+    /**
+     * Reads records from @p from on, and waits for the first one for up to @p wait.
+     *
+     * @return an id for abort()
+     */
+    virtual std::uint64_t read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done) = 0;
+
+    /** Gives up a read; its callback is not called. */
+    virtual void abort(std::uint64_t read) = 0;
+
+    /** Lists the newest record of each key after @p after, in pages that are not a snapshot. */
+    virtual void list(const std::string &topic, const std::string &after, std::function<void(keyed_listing)> done) = 0;
+
+    /** Appends one record; with an empty @p key it only sets the epoch of the producer. */
+    virtual void append(const std::string &topic,
+                        const std::string &key,
+                        const std::string &value,
+                        const std::optional<producer_position> &position,
+                        std::function<void(append_reply)> done)
+        = 0;
+
+    /** Joins a group or stays in it. The partitions of @p topic are dealt among its members. */
+    virtual void join(const std::string &group,
+                      const std::string &member,
+                      const std::string &topic,
+                      time_span timeToLive,
+                      std::uint64_t generation,
+                      std::function<void(join_reply)> done)
+        = 0;
+
+    virtual void leave(const std::string &group, const std::string &member) = 0;
+};
+
+} // namespace sycamoretray
--- a/libs/observability/event_log.cpp
+++ b/libs/observability/event_log.cpp
@@ -8,6 +8,9 @@
 #include <mutex>
 #include <optional>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace sycamoretray
 {
 
@@ -107,10 +110,58 @@
 
 } // namespace
 
+/**
+ * Writes lines to standard output without ever waiting for its reader: what does not fit is dropped and counted.
+ *
+ * A write of up to PIPE_BUF bytes to a pipe that polls as writable is done as a whole. Thread-safe, as glog calls it under its lock.
+ */
+class standard_output_sink : public google::LogSink
+{
+public:
+    void send(google::LogSeverity severity,
+              const char * /*fullFilename*/,
+              const char * /*baseFilename*/,
+              int /*line*/,
+              const google::LogMessageTime &time,
+              const char *message,
+              std::size_t size) override
+    {
+        std::string text = ToString(severity, "event_log", 0, time, message, size);
+        text += '\n';
+        if (text.size() > longestLine) {
+            text.resize(longestLine);
+            text.back() = '\n';
+        }
+        pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+        if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+            ++m_dropped;
+            return;
+        }
+        if (m_dropped > 0) {
+            text.insert(0, "event=log_lines_dropped count=" + std::to_string(m_dropped) + "\n");
+            m_dropped = 0;
+        }
+        if (write(STDOUT_FILENO, text.data(), text.size()) < 0) {
+            ++m_dropped;
+        }
+    }
+
+private:
+    static constexpr std::size_t longestLine = 4000;
+    std::uint64_t m_dropped = 0;
+};
+
 void startEventLog(const char *program)
 {
-    FLAGS_logtostderr = true;
+    // glog's own writer buffers standard output if it is no terminal, and blocks on it.
+    static standard_output_sink sink;
+    FLAGS_logtostderr = false;
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
     google::InitGoogleLogging(program);
+    for (const google::LogSeverity severity : { google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR, google::GLOG_FATAL }) {
+        google::SetLogDestination(severity, "");
+    }
+    google::AddLogSink(&sink);
 }
 
 std::string formatEvent(std::string_view name, const event_fields &fields)
--- a/libs/observability/event_log.h
+++ b/libs/observability/event_log.h
@@ -17,7 +17,7 @@
 
 using event_fields = std::vector<std::pair<std::string, std::string>>;
 
-/** Sets the log up: lines go to the standard error stream. Call once before any other thread runs. */
+/** Sets the log up: lines go to the standard output stream and are dropped while it cannot take them. Call once before any other thread runs. */
 void startEventLog(const char *program);
 
 /**
