Stop only after every connection is idle or answered

Cause: a request that arrived in the last 250 ms before the end of a stopping process was read and sent on, and then lost with the process. Ruled out: the balancer, which had already taken the instance out of rotation; the requests came on connections that callers had kept open.

Change: once the instance is out of rotation, connections without a request are closed, and the process ends when no connection is left or its time is up.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -388,8 +388,10 @@
     }
     if (passed >= rotationTime) {
         callerServer.stopListening();
+        // A request that is on its way to a closed connection was not read, so its caller sends it elsewhere.
+        callerServer.closeIdle();
     }
-    const bool idle = passed >= rotationTime + flushTime && router.unfinished() == 0;
+    const bool idle = passed >= rotationTime + flushTime && router.unfinished() == 0 && callerServer.connections() == 0;
     if (idle || passed >= settings.stopLimit - stopReserve) {
         finish();
         return false;
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -502,8 +502,9 @@
             }
         }
         for (const gateway_request_id &id : waiting) {
+            // Placing one request can send others of the same queue.
             const auto found = requests.find(id);
-            if (found != requests.end()) {
+            if (found != requests.end() && (found->second->state == request_state::parked || found->second->state == request_state::queued)) {
                 place(*found->second, now);
             }
         }
--- a/libs/http_entry/detail/http_session.cpp
+++ b/libs/http_entry/detail/http_session.cpp
@@ -269,6 +269,17 @@
     });
 }
 
+void http_session::closeIfIdle()
+{
+    boost::asio::dispatch(m_strand, [self = shared_from_this()] {
+        const bool receiving = self->m_requestDeadline != noDeadline || !self->m_unparsed.empty();
+        const bool answering = !self->m_pending.empty() || !self->m_output.empty() || self->m_writeActive || self->m_lingering;
+        if (!receiving && !answering) {
+            self->closeOnStrand();
+        }
+    });
+}
+
 void http_session::closeOnStrand()
 {
     if (m_closed.exchange(true)) {
--- a/libs/http_entry/detail/http_session.h
+++ b/libs/http_entry/detail/http_session.h
@@ -28,7 +28,7 @@
  * One connection of a caller. Requests are read while earlier ones are being worked on; answers are kept until the answers to
  * all earlier requests are written.
  *
- * Thread safety: start(), deliver(), checkTime(), watchCaller() and close() from any thread; the rest runs on the session's strand.
+ * Thread safety: start(), deliver(), checkTime(), watchCaller(), close() and closeIfIdle() from any thread; the rest runs on the session's strand.
  */
 class http_session : public std::enable_shared_from_this<http_session>
 {
@@ -54,6 +54,9 @@
 
     void close();
 
+    /** Closes the connection unless a request on it is being received or has not been answered. */
+    void closeIfIdle();
+
     bool isClosed() const noexcept
     {
         return m_closed.load(std::memory_order_acquire);
--- a/libs/http_entry/http_server.cpp
+++ b/libs/http_entry/http_server.cpp
@@ -237,6 +237,17 @@
     d->environment->closeAfterAnswer.store(true);
 }
 
+void http_server::closeIdle()
+{
+    boost::asio::dispatch(d->strand, [impl = d] {
+        for (const auto &entry : impl->sessions) {
+            if (const auto session = entry.lock()) {
+                session->closeIfIdle();
+            }
+        }
+    });
+}
+
 void http_server::stopListening()
 {
     boost::asio::dispatch(d->strand, [impl = d] {
--- a/libs/http_entry/http_server.h
+++ b/libs/http_entry/http_server.h
@@ -93,6 +93,9 @@
     /** Connections are closed after their next answer, so that callers turn to another instance. */
     void closeAfterAnswer();
 
+    /** Closes the connections on which no request is being received or waits for its answer. */
+    void closeIdle();
+
     /** Stops listening. Connections that callers have opened before are still accepted and served. */
     void stopListening();
 
