Do not take a process for the one that had its address before

An endpoint crashed, another process got its address, and the probe of the lost endpoint was answered by it. The lost endpoint counted as reachable and was granted keys, which the new process accepted. When the new process registered, the old one counted as ended, and its keys went to others at once. Ruled out: late grants and lower tokens; the log shows each order answered within milliseconds.

Change: an ended life is replaced, among those that may hold keys, by the life at its address. Without a confirmed leadership only unbroken grants are renewed, and no release is sent: a test with random faults showed that a superseded assigner granted keys to an endpoint that had been restarted and knew no token.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -25,8 +25,6 @@
 // Without a confirmation of its leadership for this long, an assigner stops renewing grants. Longer than the usual outage of the
 // store, so that keys stay served; a successor that cannot reach an endpoint waits for it.
 constexpr time_span leadershipValidity = std::chrono::seconds(8);
-// Changes are decided only while the store answers.
-constexpr time_span decisionValidity = std::chrono::milliseconds(1500);
 constexpr time_span appendRetryInterval = std::chrono::milliseconds(100);
 constexpr time_span stopQuestionInterval = std::chrono::milliseconds(300);
 constexpr const char *groupName = "sycamoretray";
@@ -283,7 +281,8 @@
         if (now - confirmed > leadershipValidity) {
             return;
         }
-        const bool mayDecide = now - confirmed < decisionValidity;
+        // Within its time to live, the store has not given the membership to another instance for silence.
+        const bool mayDecide = now - confirmed < settings.memberTimeToLive;
         for (const auto &[service, assigner] : assigners) {
             for (const assigner_action &action : assigner->act(mayDecide, now)) {
                 std::visit(
--- a/libs/key_ownership/detail/assignment.h
+++ b/libs/key_ownership/detail/assignment.h
@@ -45,6 +45,8 @@
     monotonic_time nextGrant{};
     /** The owner may hold the keys. */
     bool grantSent = false;
+    /** The last grant was accepted, and no later one failed. */
+    bool intact = false;
     /** The owner has seen a higher token. */
     bool superseded = false;
     std::string handover;
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -74,7 +74,8 @@
     monotonic_time nextPlan{};
     detail::holder_lapses lapses;
     detail::endpoint_contact contact;
-    std::set<endpoint_life> endedLives;
+    /** Lives that have ended, and the life that has their address now. */
+    std::map<endpoint_life, endpoint_life> endedLives;
     std::map<order_id, open_order> orders;
     std::map<endpoint_life, std::uint32_t> grantsInFlight;
     key_load load;
@@ -92,7 +93,8 @@
 
     bool isUsable(const listed_endpoint &endpoint) const
     {
-        return !endpoint.entry.draining && !endpoint.missingUntil && !contact.isLost(endpoint.entry.life);
+        const endpoint_life &life = endpoint.entry.life;
+        return !endpoint.entry.draining && !endpoint.missingUntil && !contact.isLost(life) && !endedLives.contains(life);
     }
 
     /** Most endpoints out of contact at once: this instance is cut off, rather than all of them lost. */
@@ -104,13 +106,14 @@
         return lost * 2 > endpoints.size();
     }
 
-    /** A later process at the same address or under the same id shows that @p life has ended. */
-    bool wasReplaced(const endpoint_life &life) const
+    /** Returns the later process at the same address or under the same id, which shows that @p life has ended; else nullptr. */
+    const endpoint_life *successorOf(const endpoint_life &life) const
     {
-        return std::any_of(endpoints.begin(), endpoints.end(), [&](const listed_endpoint &endpoint) {
+        const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const listed_endpoint &endpoint) {
             const endpoint_life &other = endpoint.entry.life;
             return other.startedAtMs > life.startedAtMs && (other.endpoint == life.endpoint || other.address == life.address);
         });
+        return found == endpoints.end() ? nullptr : &found->entry.life;
     }
 
     void noteEndedLives()
@@ -122,16 +125,47 @@
                 known.insert(holder.life);
             }
         }
+        for (const listed_endpoint &endpoint : endpoints) {
+            known.insert(endpoint.entry.life);
+        }
         for (const endpoint_life &life : known) {
-            if (!life.endpoint.value().empty() && !endedLives.contains(life) && wasReplaced(life)) {
-                endedLives.insert(life);
-                lapses.ended(life);
-                contact.forget(life);
-                note("endpoint_life_ended", { { "endpoint", life.endpoint.value() } });
+            const endpoint_life *successor = successorOf(life);
+            if (!life.endpoint.value().empty() && !endedLives.contains(life) && successor != nullptr) {
+                endLife(life, *successor);
+            }
+        }
+    }
+
+    /**
+     * Orders go to an address: what was granted to a life after its end, its successor has accepted. The successor therefore takes
+     * its place among those that may hold keys.
+     */
+    void endLife(const endpoint_life &life, const endpoint_life &successor)
+    {
+        note("endpoint_life_ended", { { "endpoint", life.endpoint.value() }, { "successor", successor.endpoint.value() } });
+        endedLives[life] = successor;
+        lapses.extend(successor, lapses.lapse(life));
+        lapses.ended(life);
+        grantsInFlight[successor] += std::exchange(grantsInFlight[life], 0);
+        contact.forget(life);
+        for (assignment &each : assignments) {
+            for (clearing_holder &holder : each.holders) {
+                if (holder.life == life) {
+                    holder = { successor, std::nullopt, {} };
+                }
             }
         }
     }
 
+    /** Returns the life that has the address of @p life now. */
+    endpoint_life presentLife(endpoint_life life) const
+    {
+        for (auto found = endedLives.find(life); found != endedLives.end(); found = endedLives.find(life)) {
+            life = found->second;
+        }
+        return life;
+    }
+
     // --- actions ---
 
     void note(std::string event, std::vector<std::pair<std::string, std::string>> fields)
@@ -226,8 +260,8 @@
             subject.renewUntilWritten.push_back({ subject.owner, subject.keys, subject.token });
         }
         subject.lapse = time_span::zero();
-        if (subject.hasOwner() && subject.grantSent && !(subject.owner == owner) && !endedLives.contains(subject.owner)) {
-            subject.addHolder(subject.owner);
+        if (subject.hasOwner() && subject.grantSent && !(subject.owner == owner)) {
+            subject.addHolder(presentLife(subject.owner));
             if (contact.isLost(subject.owner)) {
                 subject.lapse = std::max(time_span::zero(), lapses.lapse(subject.owner) - now);
             }
@@ -240,6 +274,7 @@
         subject.token = fencing_token(nextToken++);
         subject.settled = false;
         subject.grantSent = false;
+        subject.intact = subject.intact && !subject.renewUntilWritten.empty();
         subject.superseded = false;
         subject.grantOrder.reset();
         subject.nextGrant = now;
@@ -371,14 +406,23 @@
 
     // --- orders ---
 
-    void advance(assignment &subject, monotonic_time now)
+    /**
+     * Without a confirmation, another assigner may have taken over. Only grants that were renewed without a break are renewed
+     * then: after a break the endpoint may have been restarted, and would accept a token that has been superseded.
+     */
+    void advance(assignment &subject, bool mayDecide, monotonic_time now)
     {
+        if (!mayDecide && !subject.intact) {
+            return;
+        }
         if (subject.changedIn > written) {
             renewReplaced(subject, now);
             return;
         }
         subject.renewUntilWritten.clear();
-        clearHolders(subject, now);
+        if (mayDecide) {
+            clearHolders(subject, now);
+        }
         if (!subject.holders.empty() || !subject.hasOwner() || subject.grantOrder || now < subject.nextGrant || endedLives.contains(subject.owner)) {
             return;
         }
@@ -392,7 +436,7 @@
             return;
         }
         for (const held_grant &held : subject.renewUntilWritten) {
-            grant(0, held, {}, now);
+            grant(subject.serial, held, {}, now);
         }
         subject.nextGrant = now + settings.renewInterval;
     }
@@ -416,16 +460,21 @@
 
     void grantDone(const open_order &order, order_id id, order_outcome outcome, monotonic_time now)
     {
-        --grantsInFlight[order.life];
+        const endpoint_life receiver = presentLife(order.life);
+        --grantsInFlight[receiver];
         if (outcome == order_outcome::accepted || outcome == order_outcome::unanswered) {
-            lapses.extend(order.life, lapseOfGrant(now));
+            lapses.extend(receiver, lapseOfGrant(now));
         }
         assignment *subject = bySerial(order.serial);
+        if (subject != nullptr) {
+            subject->intact = subject->intact && outcome == order_outcome::accepted;
+        }
         if (subject == nullptr || subject->grantOrder != id) {
             return;
         }
         subject->grantOrder.reset();
         if (outcome == order_outcome::accepted) {
+            subject->intact = true;
             subject->nextGrant = order.sent + settings.renewInterval - renewalStep * static_cast<std::int64_t>(subject->serial % renewalSteps);
             if (!subject->settled) {
                 settle(*subject, now);
@@ -453,7 +502,8 @@
             return;
         }
         holder->order.reset();
-        if (outcome == order_outcome::accepted) {
+        // Endpoints never refuse to release keys; one that does holds none, for it belongs to another service.
+        if (outcome == order_outcome::accepted || outcome == order_outcome::refused) {
             note("keys_released", { { "keys", rangeText(subject->keys) }, { "endpoint", order.life.endpoint.value() } });
             subject->handover = std::move(handover);
             subject->holders.erase(holder);
@@ -546,6 +596,7 @@
     for (assignment &each : d->assignments) {
         if (each.changedIn > d->written && each.changedIn <= revision) {
             each.nextGrant = now;
+            each.intact = false;
         }
     }
     d->written = revision;
@@ -590,7 +641,7 @@
         d->actions.emplace_back(write_record{ d->toOwnershipRecord(), d->revision });
     }
     for (assignment &each : d->assignments) {
-        d->advance(each, now);
+        d->advance(each, mayDecide, now);
     }
     for (const endpoint_life &life : d->contact.dueProbes(now)) {
         if (d->listed(life) != nullptr) {
