Let one instance of each zone read the store for the others

Two instances learnt of a configuration 10.6 s late: their read was held although the record had been appended while the read arrived, and ended only with the next record. Ruled out: a dead connection (joins on another one succeeded, and the held read ended with both records).

Change: reads of the store are held for 1 s at most. The first member of a store group of each zone reads the store; the others read from it over HTTP with the same calls, and from the store itself when the relay fails or is cut off. The assigner is chosen among the relays.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -13,7 +13,9 @@
 #include "sycamoretrayd/gateway/internal_api.h"
 #include "sycamoretrayd/gateway/load_report_channel.h"
 #include "sycamoretrayd/gateway/ownership_runner.h"
+#include "sycamoretrayd/gateway/relayed_store.h"
 #include "sycamoretrayd/gateway/store_feeds.h"
+#include "sycamoretrayd/gateway/topic_relay.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -91,6 +93,8 @@
     monotonic_time gatewayTimerAt = monotonic_time::max();
     metrics_registry metrics;
     platform::store_client store;
+    topic_relay relay;
+    relayed_store topics;
     endpoint_connections endpoints;
     gateway router;
     store_feeds feeds;
@@ -105,6 +109,7 @@
     bool finished = false;
     monotonic_time stopStarted{};
     bool everReady = false;
+    monotonic_time storeAnsweredAt{};
 
     int run();
     void startTimers();
@@ -119,6 +124,8 @@
     // --- state ---
 
     bool isReady();
+    void storeAnswered();
+    void chooseRelay();
     void upkeep();
     void reportLoad();
     std::string dump();
@@ -137,15 +144,26 @@
     : settings(std::move(givenSettings))
     , settingsFile(std::move(givenSettingsFile))
     , store(executor, settings.storeAddress)
+    , relay(executor,
+            [this] {
+                return ownership.isRelay();
+            })
+    , topics(store,
+             executor,
+             [this] {
+                 return ownership.storeAnswers();
+             })
     , endpoints(executor)
     , router(gatewaySettings(settings),
              endpoints,
              [](std::string_view event, const auto &fields) {
                  logEvent(event, fields);
              })
-    , feeds(store, executor, feedObserver())
+    , feeds(topics, relay, executor, feedObserver())
     , stopClient(executor)
-    , ownership(executor, { settings.instance, newIncarnation(settings.instance), settings.internalAddress, settings.memberTimeToLive }, ownershipEnvironment())
+    , ownership(executor,
+                { settings.instance, settings.zone, newIncarnation(settings.instance), settings.internalAddress, settings.memberTimeToLive },
+                ownershipEnvironment())
     , reports(context,
               settings.internalAddress,
               [this](const load_report &report) {
@@ -160,6 +178,9 @@
                 },
                  [this](std::uint64_t epoch) {
                      return ownership.stopBefore(epoch);
+                 },
+                 [this](const http_request &request, const std::shared_ptr<answer_slot> &slot) {
+                     return relay.handle(request, slot);
                  } })
     , callerServer(context,
                    callerServerSettings(settings),
@@ -199,9 +220,15 @@
 
 ownership_environment gateway_daemon::impl::ownershipEnvironment()
 {
-    return { store, feeds, endpoints, [this](const network_address &assigner, std::uint64_t epoch, std::function<void(bool)> done) {
-                stopClient.ask(assigner, epoch, std::move(done));
-            } };
+    return { store,
+             feeds,
+             endpoints,
+             [this](const network_address &assigner, std::uint64_t epoch, std::function<void(bool)> done) {
+                 stopClient.ask(assigner, epoch, std::move(done));
+             },
+             [this] {
+                 storeAnswered();
+             } };
 }
 
 feed_observer gateway_daemon::impl::feedObserver()
@@ -216,6 +243,9 @@
         router.setRoutes(feeds.routes(), steadyNow());
         ownership.directoryChanged();
     };
+    observer.relaysChanged = [this] {
+        chooseRelay();
+    };
     observer.ownershipChanged = [this] {
         router.setOwnership(feeds.ownership(), steadyNow());
         touched();
@@ -283,6 +313,25 @@
 
 // --- state ---
 
+void gateway_daemon::impl::storeAnswered()
+{
+    // After a silence, the connections on which reads wait may be dead as well.
+    constexpr time_span silence = std::chrono::milliseconds(1500);
+    const monotonic_time now = steadyNow();
+    if (storeAnsweredAt != monotonic_time{} && now - storeAnsweredAt > silence) {
+        feeds.restart();
+    }
+    storeAnsweredAt = now;
+    chooseRelay();
+}
+
+void gateway_daemon::impl::chooseRelay()
+{
+    const auto found = feeds.relays().find(settings.zone);
+    const bool own = ownership.leadsZone() || found == feeds.relays().end() || found->second == settings.internalAddress;
+    topics.setRelay(own ? std::nullopt : std::optional(found->second));
+}
+
 bool gateway_daemon::impl::isReady()
 {
     const bool ready = !stopping && feeds.isComplete() && !feeds.directory().endpoints().empty();
--- a/apps/sycamoretrayd/gateway/internal_api.cpp
+++ b/apps/sycamoretrayd/gateway/internal_api.cpp
@@ -48,7 +48,9 @@
         , functions(std::move(givenFunctions))
         , server(context, serverSettings(address), [this, executor](const http_request &request, std::shared_ptr<answer_slot> slot) {
             executor.post([this, request, slot = std::move(slot)] {
-                slot->answer(answer(request));
+                if (!functions.handleTopics(request, slot)) {
+                    slot->answer(answer(request));
+                }
             });
         })
     {
--- a/apps/sycamoretrayd/gateway/internal_api.h
+++ b/apps/sycamoretrayd/gateway/internal_api.h
@@ -22,6 +22,8 @@
     std::function<std::string()> dump;
     /** See ownership_runner::stopBefore(). */
     std::function<bool(std::uint64_t epoch)> stopAssigningBefore;
+    /** See topic_relay::handle(). */
+    std::function<bool(const http_request &request, const std::shared_ptr<answer_slot> &slot)> handleTopics;
 };
 
 /**
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -5,6 +5,8 @@
 #include "key_ownership/leadership_machine.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
+#include "sycamoretrayd/gateway/group_membership.h"
+#include "sycamoretrayd/gateway/relay_record.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,18 +21,19 @@
 namespace
 {
 
-// A third of the shortest time to live, so that one lost call does not cost the membership.
-constexpr int joinsPerTimeToLive = 3;
+// A relay that is lost is replaced by reads of the store itself, so its zone need not notice at once.
+constexpr int zoneTimeToLiveFactor = 2;
+// Silence of the store, in times of its usual answers, after which a relay may be out of date.
+constexpr time_span storeSilence = std::chrono::milliseconds(1600);
 constexpr std::uint32_t tickMilliseconds = 40;
 // Without a confirmation of its leadership for this long, an assigner stops renewing grants. Longer than the usual outage of the
 // store, so that keys stay served; a successor that cannot reach an endpoint waits for it.
 constexpr time_span leadershipValidity = std::chrono::seconds(8);
 constexpr time_span appendRetryInterval = std::chrono::milliseconds(100);
 constexpr time_span stopQuestionInterval = std::chrono::milliseconds(300);
-constexpr const char *groupName = "sycamoretray";
+constexpr const char *groupName = "sycamoretray-assigner";
+constexpr const char *zoneGroupPrefix = "sycamoretray-relay-";
 constexpr const char *producerName = "assigner";
-// The member that holds this partition of the ownership topic assigns the keys of all services.
-constexpr std::uint32_t leadingPartition = 0;
 
 } // namespace
 
@@ -53,12 +56,11 @@
     leadership_machine leadership;
     std::map<service_id, std::unique_ptr<key_assigner>> assigners;
     bool stopped = false;
-    bool joining = false;
-    bool storeFailed = false;
-    std::uint64_t generation = 0;
-    monotonic_time nextJoin{};
-    /** When the newest join that confirmed the leadership was sent. */
-    monotonic_time confirmed{};
+    /** Chooses the relay of the zone. */
+    std::unique_ptr<group_membership> zoneGroup;
+    /** Chooses the assigner; set while this instance is the relay of its zone. */
+    std::unique_ptr<group_membership> assignerGroup;
+    bool announcing = false;
     std::uint64_t epoch = 0;
     /** Highest epoch that any instance is known to have used. */
     std::uint64_t highestEpoch = 0;
@@ -72,6 +74,11 @@
     bool writing = false;
     monotonic_time nextWrite{};
 
+    std::uint64_t generation() const
+    {
+        return assignerGroup ? assignerGroup->generation() : 0;
+    }
+
     bool leads() const
     {
         return leadership.phase() == leadership_phase::leading;
@@ -82,9 +89,6 @@
     void tick()
     {
         const monotonic_time now = steadyNow();
-        if (!joining && now >= nextJoin) {
-            join(now);
-        }
         if (leadership.phase() == leadership_phase::claiming) {
             finishClaim();
         }
@@ -94,42 +98,52 @@
         }
     }
 
-    void join(monotonic_time now)
+    /** Instances that relay the store to their zone are the ones among which the assigner is chosen. */
+    void zoneAnswered()
     {
-        joining = true;
-        nextJoin = now + settings.memberTimeToLive / joinsPerTimeToLive;
-        environment.store.join(groupName,
-                               settings.incarnation,
-                               platform::ownershipTopic,
-                               settings.memberTimeToLive,
-                               generation,
-                               [weak = weak_from_this(), sent = now](const join_reply &reply) {
-                                   const auto self = weak.lock();
-                                   if (self && !self->stopped) {
-                                       self->joined(reply, sent);
-                                   }
-                               });
+        if (zoneGroup->leads() && !assignerGroup) {
+            logEvent("relay_started", { { "zone", settings.zone.value() } });
+            assignerGroup = std::make_unique<group_membership>(
+                environment.store, executor, group_settings{ groupName, settings.incarnation, platform::ownershipTopic, settings.memberTimeToLive }, [this] {
+                    assignerAnswered();
+                });
+            assignerGroup->start();
+        } else if (!zoneGroup->leads() && assignerGroup) {
+            logEvent("relay_stopped", { { "zone", settings.zone.value() } });
+            process(leadership_event::partition_taken);
+            assignerGroup->leave();
+            assignerGroup.reset();
+        }
+        announceRelay();
+        environment.storeAnswered();
     }
 
-    void joined(const join_reply &reply, monotonic_time sent)
+    void assignerAnswered()
     {
-        joining = false;
-        if (reply.result != store_result::ok) {
-            if (!std::exchange(storeFailed, true)) {
-                logEvent(event_severity::warning, "membership_unconfirmed", { { "leading", leads() ? "true" : "false" } });
-            }
+        process(assignerGroup->leads() ? leadership_event::partition_dealt : leadership_event::partition_taken);
+    }
+
+    /** Writes that this instance is the relay of its zone, unless the record says so already. */
+    void announceRelay()
+    {
+        const auto known = environment.feeds.relays().find(settings.zone);
+        const bool announced = known != environment.feeds.relays().end() && known->second == settings.internalAddress;
+        if (!zoneGroup->leads() || announced || announcing || !environment.feeds.isComplete()) {
             return;
         }
-        if (std::exchange(storeFailed, false)) {
-            logEvent("membership_confirmed_again", { { "generation", std::to_string(reply.generation) } });
-            environment.feeds.restart();
-        }
-        generation = reply.generation;
-        const bool dealt = std::find(reply.partitions.begin(), reply.partitions.end(), leadingPartition) != reply.partitions.end();
-        if (dealt) {
-            confirmed = sent;
-        }
-        process(dealt ? leadership_event::partition_dealt : leadership_event::partition_taken);
+        announcing = true;
+        environment.store.append(
+            platform::ownershipTopic, relayKey(settings.zone), settings.internalAddress.value(), std::nullopt, [weak = weak_from_this()](const append_reply &) {
+                // Whatever the outcome: the record is read back, or written again after the next join.
+                if (const auto self = weak.lock()) {
+                    self->announcing = false;
+                }
+            });
+    }
+
+    bool isRelay() const
+    {
+        return zoneGroup->leads() && steadyNow() - zoneGroup->lastAnswer() < storeSilence && !environment.feeds.isLost();
     }
 
     // --- leadership ---
@@ -141,7 +155,7 @@
         }
         switch (leadership.phase()) {
         case leadership_phase::following:
-            logEvent("assigner_stopped", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation) } });
+            logEvent("assigner_stopped", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
             assigners.clear();
             writes.clear();
             writing = false;
@@ -157,13 +171,13 @@
 
     void claim()
     {
-        highestEpoch = std::max({ highestEpoch, epoch, generation });
+        highestEpoch = std::max({ highestEpoch, epoch, generation() });
         for (const auto &[service, record] : environment.feeds.ownership().records()) {
             highestEpoch = std::max(highestEpoch, record.epoch);
         }
         epoch = ++highestEpoch;
         claimEnd = log_offset(std::numeric_limits<std::uint64_t>::max());
-        logEvent("assigner_claims", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation) } });
+        logEvent("assigner_claims", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
         environment.store.append(platform::ownershipTopic,
                                  {},
                                  {},
@@ -278,11 +292,11 @@
     void act()
     {
         const monotonic_time now = steadyNow();
-        if (now - confirmed > leadershipValidity) {
+        if (!assignerGroup || now - assignerGroup->leadConfirmed() > leadershipValidity) {
             return;
         }
         // Within its time to live, the store has not given the membership to another instance for silence.
-        const bool mayDecide = now - confirmed < settings.memberTimeToLive;
+        const bool mayDecide = now - assignerGroup->leadConfirmed() < settings.memberTimeToLive;
         for (const auto &[service, assigner] : assigners) {
             for (const assigner_action &action : assigner->act(mayDecide, now)) {
                 std::visit(
@@ -401,7 +415,7 @@
 
     void leave()
     {
-        if (stopped) {
+        if (stopped || !zoneGroup) {
             return;
         }
         if (leads() && writes.empty()) {
@@ -416,7 +430,10 @@
         }
         stopped = true;
         assigners.clear();
-        environment.store.leave(groupName, settings.incarnation);
+        zoneGroup->leave();
+        if (assignerGroup) {
+            assignerGroup->leave();
+        }
         logEvent("group_left", { { "epoch", std::to_string(epoch) } });
     }
 };
@@ -433,6 +450,15 @@
 
 void ownership_runner::start()
 {
+    const std::string group = zoneGroupPrefix + d->settings.zone.value();
+    d->zoneGroup = std::make_unique<group_membership>(
+        d->environment.store,
+        d->executor,
+        group_settings{ group, d->settings.incarnation, platform::ownershipTopic, d->settings.memberTimeToLive * zoneTimeToLiveFactor },
+        [runner = d.get()] {
+            runner->zoneAnswered();
+        });
+    d->zoneGroup->start();
     d->executor.repeat(tickMilliseconds, [weak = d->weak_from_this()] {
         const auto self = weak.lock();
         if (!self || self->stopped) {
@@ -473,6 +499,21 @@
     return true;
 }
 
+bool ownership_runner::isRelay() const
+{
+    return d->zoneGroup && d->isRelay();
+}
+
+bool ownership_runner::leadsZone() const
+{
+    return d->zoneGroup && d->zoneGroup->leads();
+}
+
+bool ownership_runner::storeAnswers() const
+{
+    return !d->zoneGroup || d->zoneGroup->lastAnswer() == monotonic_time{} || steadyNow() - d->zoneGroup->lastAnswer() < storeSilence;
+}
+
 std::string ownership_runner::dump() const
 {
     nlohmann::json services = nlohmann::json::object();
@@ -488,7 +529,8 @@
         }
         services[service.value()] = std::move(ranges);
     }
-    const nlohmann::json document = { { "leads", d->leads() }, { "epoch", d->epoch }, { "generation", d->generation }, { "services", std::move(services) } };
+    const nlohmann::json document
+        = { { "leads", d->leads() }, { "epoch", d->epoch }, { "generation", d->generation() }, { "relay", isRelay() }, { "services", std::move(services) } };
     return document.dump(1);
 }
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -16,6 +16,7 @@
 
 struct ownership_runner_settings {
     instance_id instance;
+    availability_zone zone;
     /** Distinguishes this process from earlier ones of the instance. */
     std::string incarnation;
     network_address internalAddress;
@@ -29,10 +30,13 @@
     endpoint_connections &endpoints;
     /** Asks the assigner at an address to stop if its epoch is lower; the result says whether it certainly sends nothing more. */
     std::function<void(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done)> askToStop;
+    /** Called each time the store confirmed the membership in the zone's group. */
+    std::function<void()> storeAnswered;
 };
 
 /**
- * This instance's part in assigning keys: membership in the group, leadership, and the assigners of all services while leading.
+ * This instance's part in reading the store for its zone and in assigning keys: membership in the groups, leadership, and the
+ * assigners of all services while leading.
  *
  * Thread safety: none; used on the strand of its executor.
  */
@@ -60,6 +64,15 @@
      */
     bool stopBefore(std::uint64_t epoch);
 
+    /** This instance reads the store for its zone, and the store answers. */
+    bool isRelay() const;
+
+    /** This instance was chosen to read the store for its zone. */
+    bool leadsZone() const;
+
+    /** The store answered lately, or was not asked yet. */
+    bool storeAnswers() const;
+
     /** Returns the state as JSON. */
     std::string dump() const;
 
--- a/apps/sycamoretrayd/gateway/store_feeds.cpp
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -6,7 +6,10 @@
 #include "platform/configuration_codec.h"
 #include "platform/endpoint_codec.h"
 #include "platform/topics.h"
+#include "sycamoretrayd/gateway/relay_record.h"
+#include "sycamoretrayd/gateway/topic_relay.h"
 
+#include <set>
 #include <utility>
 
 namespace sycamoretray
@@ -21,8 +24,9 @@
 } // namespace
 
 struct store_feeds::impl {
-    impl(metadata_store &store, const serial_executor &executor, feed_observer givenObserver)
-        : observer(std::move(givenObserver))
+    impl(metadata_store &store, topic_relay &givenRelay, const serial_executor &executor, feed_observer givenObserver)
+        : relay(givenRelay)
+        , observer(std::move(givenObserver))
         , directory(returnGrace)
         , endpointFeed(store, platform::endpointTopic, executor, {}, endpointObserver())
         , configurationFeed(store, platform::operatorTopic, executor, {}, configurationObserver())
@@ -30,7 +34,10 @@
     {
     }
 
+    topic_relay &relay;
     feed_observer observer;
+    std::map<availability_zone, network_address> relays;
+    std::set<std::string> lostTopics;
     endpoint_directory directory;
     ownership_view ownership;
     std::shared_ptr<const request_routes> routes;
@@ -50,6 +57,35 @@
         return decoded;
     }
 
+    /** Returns an observer that keeps the relay's copy of @p topic, and passes on what it is told. */
+    topic_observer copying(const std::string &topic, topic_observer next)
+    {
+        topic_observer result;
+        result.listed = [this, topic, next](const std::vector<keyed_record> &records, log_offset end) {
+            relay.copyOf(topic).listed(records, end);
+            relay.changed(topic);
+            next.listed(records, end);
+        };
+        result.appended = [this, topic, next](const std::vector<keyed_record> &records) {
+            relay.copyOf(topic).appended(records);
+            relay.changed(topic);
+            next.appended(records);
+        };
+        result.lost = [this, topic, next] {
+            lostTopics.insert(topic);
+            if (next.lost) {
+                next.lost();
+            }
+        };
+        result.returned = [this, topic, next] {
+            lostTopics.erase(topic);
+            if (next.returned) {
+                next.returned();
+            }
+        };
+        return result;
+    }
+
     topic_observer endpointObserver()
     {
         topic_observer result;
@@ -90,7 +126,7 @@
         result.returned = [this] {
             directory.sourceReturned(steadyNow());
         };
-        return result;
+        return copying(platform::endpointTopic, std::move(result));
     }
 
     void takeConfiguration(const std::vector<keyed_record> &records)
@@ -124,18 +160,22 @@
         result.appended = [this](const std::vector<keyed_record> &records) {
             takeConfiguration(records);
         };
-        result.lost = [] {};
-        result.returned = [] {};
-        return result;
+        return copying(platform::operatorTopic, std::move(result));
     }
 
     void takeOwnership(const std::vector<keyed_record> &records)
     {
         bool changed = false;
+        bool relaysChanged = false;
         for (const keyed_record &record : records) {
             if (!record.value) {
                 continue;
             }
+            if (const auto zone = relayZone(record.key)) {
+                relays[*zone] = network_address(*record.value);
+                relaysChanged = true;
+                continue;
+            }
             auto decoded = decodeOwnershipRecord(*record.value);
             if (!decoded) {
                 logEvent(event_severity::error, "ownership_record_unreadable", { { "key", record.key } });
@@ -146,6 +186,9 @@
         if (changed) {
             observer.ownershipChanged();
         }
+        if (relaysChanged) {
+            observer.relaysChanged();
+        }
     }
 
     topic_observer ownershipObserver()
@@ -158,14 +201,12 @@
         result.appended = [this](const std::vector<keyed_record> &records) {
             takeOwnership(records);
         };
-        result.lost = [] {};
-        result.returned = [] {};
-        return result;
+        return copying(platform::ownershipTopic, std::move(result));
     }
 };
 
-store_feeds::store_feeds(metadata_store &store, serial_executor executor, feed_observer observer)
-    : d(std::make_unique<impl>(store, executor, std::move(observer)))
+store_feeds::store_feeds(metadata_store &store, topic_relay &relay, serial_executor executor, feed_observer observer)
+    : d(std::make_unique<impl>(store, relay, executor, std::move(observer)))
 {
 }
 
@@ -219,6 +260,16 @@
     return d->endpointsListed && d->ownershipListed && d->routes;
 }
 
+const std::map<availability_zone, network_address> &store_feeds::relays() const noexcept
+{
+    return d->relays;
+}
+
+bool store_feeds::isLost() const noexcept
+{
+    return !d->lostTopics.empty();
+}
+
 log_offset store_feeds::ownershipPosition() const noexcept
 {
     return d->ownershipFeed.position();
--- a/apps/sycamoretrayd/gateway/store_feeds.h
+++ b/apps/sycamoretrayd/gateway/store_feeds.h
@@ -7,6 +7,7 @@
 #include "metadata_store/metadata_store.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace sycamoretray
@@ -17,8 +18,11 @@
     std::function<void()> endpointsChanged;
     std::function<void()> routesChanged;
     std::function<void()> ownershipChanged;
+    std::function<void()> relaysChanged;
 };
 
+class topic_relay;
+
 /**
  * Keeps the endpoints, the configuration and the ownership records as the metadata store has them.
  *
@@ -27,7 +31,8 @@
 class store_feeds
 {
 public:
-    store_feeds(metadata_store &store, serial_executor executor, feed_observer observer);
+    /** @param relay  gets a copy of all topics */
+    store_feeds(metadata_store &store, topic_relay &relay, serial_executor executor, feed_observer observer);
     ~store_feeds();
     store_feeds(const store_feeds &) = delete;
     store_feeds &operator=(const store_feeds &) = delete;
@@ -49,6 +54,10 @@
     const std::shared_ptr<const request_routes> &routes() const noexcept;
     /** All endpoints and ownership records that existed at the start are known. */
     bool isComplete() const noexcept;
+    /** Internal address of the instance of each availability zone that reads the store for the others. */
+    const std::map<availability_zone, network_address> &relays() const noexcept;
+    /** Reads fail at present. */
+    bool isLost() const noexcept;
     /** Offset up to which ownership records are known. */
     log_offset ownershipPosition() const noexcept;
 
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/topic_relay.cpp
@@ -0,0 +1,189 @@
+#include "sycamoretrayd/gateway/topic_relay.h"
+
+#include "executor/steady_time.h"
+#include "http_entry/error_answer.h"
+#include "metadata_store/relay_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+constexpr std::string_view listTarget = "/v1/topics/list?";
+constexpr std::string_view readTarget = "/v1/topics/read?";
+constexpr std::uint32_t waitCheckMilliseconds = 50;
+constexpr std::uint64_t longestWaitMs = 10000;
+
+std::optional<std::string_view> parameter(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const std::size_t end = std::min(query.find('&'), query.size());
+        const std::string_view item = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        if (item.size() > name.size() && item.starts_with(name) && item[name.size()] == '=') {
+            return item.substr(name.size() + 1);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> numberParameter(std::string_view query, std::string_view name)
+{
+    const auto text = parameter(query, name);
+    std::uint64_t value = 0;
+    if (!text || std::from_chars(text->data(), text->data() + text->size(), value).ptr != text->data() + text->size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+http_response cborAnswer(std::string body)
+{
+    http_response response;
+    response.fields.push_back({ "Content-Type", "application/cbor" });
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace
+
+struct topic_relay::impl : std::enable_shared_from_this<impl> {
+    struct waiting_read {
+        std::string topic;
+        log_offset from;
+        monotonic_time until;
+        std::shared_ptr<answer_slot> slot;
+    };
+
+    serial_executor executor;
+    std::function<bool()> isCurrent;
+    std::map<std::string, topic_copy> copies;
+    std::vector<waiting_read> waiting;
+    bool checking = false;
+
+    impl(serial_executor givenExecutor, std::function<bool()> givenIsCurrent)
+        : executor(std::move(givenExecutor))
+        , isCurrent(std::move(givenIsCurrent))
+    {
+    }
+
+    http_response list(std::string_view query) const
+    {
+        const auto copy = copies.find(std::string(parameter(query, "topic").value_or("")));
+        if (copy == copies.end()) {
+            return errorAnswer(result_code::unknown_name, {});
+        }
+        if (!copy->second.isComplete() || !isCurrent()) {
+            return errorAnswer(result_code::log_unavailable, {});
+        }
+        return cborAnswer(encodeListing(copy->second.list()));
+    }
+
+    void read(std::string_view query, const std::shared_ptr<answer_slot> &slot)
+    {
+        const std::string topic(parameter(query, "topic").value_or(""));
+        const auto from = numberParameter(query, "from");
+        const auto copy = copies.find(topic);
+        if (copy == copies.end() || !from) {
+            slot->answer(errorAnswer(result_code::unknown_name, {}));
+            return;
+        }
+        if (!copy->second.isComplete() || !isCurrent()) {
+            slot->answer(errorAnswer(result_code::log_unavailable, {}));
+            return;
+        }
+        const std::uint64_t wait = std::min(numberParameter(query, "wait_ms").value_or(0), longestWaitMs);
+        const keyed_read reply = copy->second.read(log_offset(*from));
+        if (reply.result != store_result::ok || !reply.records.empty() || wait == 0) {
+            slot->answer(cborAnswer(encodeRead(reply)));
+            return;
+        }
+        waiting.push_back({ topic, log_offset(*from), steadyNow() + std::chrono::milliseconds(wait), slot });
+        check();
+    }
+
+    /** Answers reads whose time is over, as long as there are any. */
+    void check()
+    {
+        if (std::exchange(checking, true)) {
+            return;
+        }
+        executor.repeat(waitCheckMilliseconds, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self) {
+                return false;
+            }
+            self->expire();
+            self->checking = !self->waiting.empty();
+            return self->checking;
+        });
+    }
+
+    void expire()
+    {
+        const monotonic_time now = steadyNow();
+        const bool current = isCurrent();
+        answerIf([&](const waiting_read &each) {
+            return !current || now >= each.until || each.slot->callerGone();
+        });
+    }
+
+    void answerIf(const std::function<bool(const waiting_read &)> &condition)
+    {
+        const auto kept = std::partition(waiting.begin(), waiting.end(), [&](const waiting_read &each) {
+            return !condition(each);
+        });
+        const std::vector<waiting_read> due(std::make_move_iterator(kept), std::make_move_iterator(waiting.end()));
+        waiting.erase(kept, waiting.end());
+        for (const waiting_read &each : due) {
+            each.slot->answer(isCurrent() ? cborAnswer(encodeRead(copies.at(each.topic).read(each.from))) : errorAnswer(result_code::log_unavailable, {}));
+        }
+    }
+};
+
+topic_relay::topic_relay(serial_executor executor, std::function<bool()> isCurrent)
+    : d(std::make_shared<impl>(std::move(executor), std::move(isCurrent)))
+{
+}
+
+topic_relay::~topic_relay() = default;
+
+topic_copy &topic_relay::copyOf(const std::string &topic)
+{
+    return d->copies[topic];
+}
+
+void topic_relay::changed(const std::string &topic)
+{
+    d->answerIf([&](const impl::waiting_read &each) {
+        return each.topic == topic && d->copies.at(topic).position() > each.from;
+    });
+}
+
+bool topic_relay::handle(const http_request &request, const std::shared_ptr<answer_slot> &slot)
+{
+    const std::string_view target = request.target;
+    if (request.method != "GET") {
+        return false;
+    }
+    if (target.starts_with(listTarget)) {
+        slot->answer(d->list(target.substr(listTarget.size())));
+        return true;
+    }
+    if (target.starts_with(readTarget)) {
+        d->read(target.substr(readTarget.size()), slot);
+        return true;
+    }
+    return false;
+}
+
+} // namespace sycamoretray
--- a/libs/metadata_store/keyed_topic_follower.h
+++ b/libs/metadata_store/keyed_topic_follower.h
@@ -10,8 +10,11 @@
 {
 
 struct topic_follower_settings {
-    /** How long the store may hold a read. Long, because each call is paid for. */
-    time_span readWait = std::chrono::seconds(20);
+    /**
+     * How long the store may hold a read. A record that is appended while a read arrives may not end that read, so this bounds
+     * how late it is learnt; each call is paid for, so it is no shorter.
+     */
+    time_span readWait = std::chrono::milliseconds(1000);
     /** Time between two reads, so that records which arrive together cost one call. */
     time_span readSpacing = std::chrono::milliseconds(40);
     time_span firstRetry = std::chrono::milliseconds(150);
