Relay and assign from instances with enough processor, and bound the renewals

Ruled out: the links; the relays' processors were at their share.

Change: instances with less than 0.2 cores join the relay's group only if their zone has no working relay. Renewals are bounded to 300 a second; their interval and the length of grants follow from the number of ranges. A relay encodes a change once for all its readers.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -161,9 +161,10 @@
              })
     , feeds(topics, relay, executor, feedObserver())
     , stopClient(executor)
-    , ownership(executor,
-                { settings.instance, settings.zone, newIncarnation(settings.instance), settings.internalAddress, settings.memberTimeToLive },
-                ownershipEnvironment())
+    , ownership(
+          executor,
+          { settings.instance, settings.zone, newIncarnation(settings.instance), settings.internalAddress, settings.memberTimeToLive, settings.processorShare },
+          ownershipEnvironment())
     , reports(context,
               settings.internalAddress,
               [this](const load_report &report) {
@@ -228,6 +229,9 @@
              },
              [this] {
                  storeAnswered();
+             },
+             [this] {
+                 return topics.relayFailing();
              } };
 }
 
@@ -346,8 +350,14 @@
     const monotonic_time now = steadyNow();
     feeds.expire(now);
     endpoints.closeUnused(now);
-    // Leaving endpoints get no requests after a time.
-    router.setEndpoints(feeds.directory().endpoints(), now);
+    const auto &listed = feeds.directory().endpoints();
+    const bool anyDraining = std::any_of(listed.begin(), listed.end(), [](const auto &item) {
+        return item.second.entry.draining;
+    });
+    if (anyDraining) {
+        // Leaving endpoints get no requests after a time.
+        router.setEndpoints(listed, now);
+    }
     touched();
 }
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -21,6 +21,10 @@
 namespace
 {
 
+// A relay of a large zone, and an assigner of hundreds of endpoints, need more than a tenth of a core.
+constexpr double candidateShare = 0.2;
+// Smaller instances take part only if their zone has had no relay for this time.
+constexpr time_span reserveDelay = std::chrono::milliseconds(2500);
 // A relay that is lost is replaced by reads of the store itself, so its zone need not notice at once.
 constexpr int zoneTimeToLiveFactor = 2;
 // Silence of the store, in times of its usual answers, after which a relay may be out of date.
@@ -56,6 +60,7 @@
     leadership_machine leadership;
     std::map<service_id, std::unique_ptr<key_assigner>> assigners;
     bool stopped = false;
+    monotonic_time started{};
     /** Chooses the relay of the zone. */
     std::unique_ptr<group_membership> zoneGroup;
     /** Chooses the assigner; set while this instance is the relay of its zone. */
@@ -89,6 +94,9 @@
     void tick()
     {
         const monotonic_time now = steadyNow();
+        if (!zoneGroup && isNeeded(now)) {
+            joinZone();
+        }
         if (leadership.phase() == leadership_phase::claiming) {
             finishClaim();
         }
@@ -98,6 +106,25 @@
         }
     }
 
+    bool isNeeded(monotonic_time now) const
+    {
+        const bool relayKnown = environment.feeds.relays().contains(settings.zone);
+        return settings.processorShare >= candidateShare || (!relayKnown && now - started > reserveDelay) || environment.relayFailing() > reserveDelay;
+    }
+
+    void joinZone()
+    {
+        const std::string group = zoneGroupPrefix + settings.zone.value();
+        zoneGroup = std::make_unique<group_membership>(
+            environment.store,
+            executor,
+            group_settings{ group, settings.incarnation, platform::ownershipTopic, settings.memberTimeToLive * zoneTimeToLiveFactor },
+            [this] {
+                zoneAnswered();
+            });
+        zoneGroup->start();
+    }
+
     /** Instances that relay the store to their zone are the ones among which the assigner is chosen. */
     void zoneAnswered()
     {
@@ -415,7 +442,7 @@
 
     void leave()
     {
-        if (stopped || !zoneGroup) {
+        if (std::exchange(stopped, true)) {
             return;
         }
         if (leads() && writes.empty()) {
@@ -428,9 +455,10 @@
                                          [](const append_reply &) {});
             }
         }
-        stopped = true;
         assigners.clear();
-        zoneGroup->leave();
+        if (zoneGroup) {
+            zoneGroup->leave();
+        }
         if (assignerGroup) {
             assignerGroup->leave();
         }
@@ -450,15 +478,7 @@
 
 void ownership_runner::start()
 {
-    const std::string group = zoneGroupPrefix + d->settings.zone.value();
-    d->zoneGroup = std::make_unique<group_membership>(
-        d->environment.store,
-        d->executor,
-        group_settings{ group, d->settings.incarnation, platform::ownershipTopic, d->settings.memberTimeToLive * zoneTimeToLiveFactor },
-        [runner = d.get()] {
-            runner->zoneAnswered();
-        });
-    d->zoneGroup->start();
+    d->started = steadyNow();
     d->executor.repeat(tickMilliseconds, [weak = d->weak_from_this()] {
         const auto self = weak.lock();
         if (!self || self->stopped) {
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -21,6 +21,8 @@
     std::string incarnation;
     network_address internalAddress;
     time_span memberTimeToLive{};
+    /** Processor that the instance may use, in cores. */
+    double processorShare = 1;
 };
 
 /** What an ownership_runner works with; all of it outlives the runner. */
@@ -32,6 +34,8 @@
     std::function<void(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done)> askToStop;
     /** Called each time the store confirmed the membership in the zone's group. */
     std::function<void()> storeAnswered;
+    /** How long the relay of the zone has failed. */
+    std::function<time_span()> relayFailing;
 };
 
 /**
--- a/apps/sycamoretrayd/gateway/relayed_store.cpp
+++ b/apps/sycamoretrayd/gateway/relayed_store.cpp
@@ -19,6 +19,8 @@
 constexpr time_span relayTimeout = std::chrono::milliseconds(300);
 // A relay that failed is left alone for this time.
 constexpr time_span relayPause = std::chrono::milliseconds(1500);
+// The same for the store, if it failed as well.
+constexpr time_span directPause = std::chrono::milliseconds(2000);
 // Longer than a relay holds a read and its caller waits for it.
 constexpr std::uint32_t formerRelayMilliseconds = 15000;
 constexpr std::uint64_t mostReplyBytes = 16ULL * 1024 * 1024;
@@ -47,6 +49,9 @@
     std::optional<network_address> relay;
     std::shared_ptr<http_connection_pool> pool;
     monotonic_time pausedUntil{};
+    monotonic_time directPausedUntil{};
+    /** Since when the relay has failed. */
+    std::optional<monotonic_time> failingSince;
     std::uint64_t lastRead = 0;
     std::map<std::uint64_t, open_read> reads;
 
@@ -62,6 +67,32 @@
         return pool && steadyNow() >= pausedUntil;
     }
 
+    /** While the relay fails because the store does, the store is asked now and then only. */
+    bool mayReadDirectly() const
+    {
+        return !pool || (storeAnswers() && steadyNow() >= directPausedUntil);
+    }
+
+    void noteDirectResult(store_result result)
+    {
+        if (pool && result != store_result::ok && result != store_result::expired) {
+            directPausedUntil = steadyNow() + directPause;
+        }
+    }
+
+    void readUnavailable(std::uint64_t id, std::function<void(keyed_read)> done)
+    {
+        executor.post([weak = weak_from_this(), id, done = std::move(done)] {
+            const auto self = weak.lock();
+            if (self && self->reads.erase(id) > 0) {
+                keyed_read failed;
+                failed.result = store_result::unavailable;
+                done(std::move(failed));
+            }
+        });
+        reads[id] = {};
+    }
+
     std::uint64_t ask(const std::string &target, time_span timeout, http_connection_pool::callback done)
     {
         std::string wire;
@@ -72,6 +103,9 @@
     void relayFailed(const std::string &topic)
     {
         pausedUntil = steadyNow() + relayPause;
+        if (!failingSince) {
+            failingSince = steadyNow();
+        }
         logEvent(event_severity::warning,
                  "relay_failed",
                  { { "topic", topic }, { "relay", relay ? relay->value() : "" }, { "store", storeAnswers() ? "answers" : "lost" } });
@@ -82,6 +116,7 @@
         reads[id] = { nullptr, store.read(topic, from, wait, [weak = weak_from_this(), id, done = std::move(done)](keyed_read reply) {
                          if (const auto self = weak.lock()) {
                              self->reads.erase(id);
+                             self->noteDirectResult(reply.result);
                              done(std::move(reply));
                          }
                      }) };
@@ -111,17 +146,16 @@
         const bool answered = result.code == result_code::ok && result.response.status == 200;
         auto reply = answered ? decodeRelayedRead(result.response.body) : std::nullopt;
         if (reply) {
+            failingSince.reset();
             done(std::move(*reply));
             return;
         }
         relayFailed(topic);
-        if (storeAnswers()) {
+        if (mayReadDirectly()) {
             readDirectly(id, topic, from, wait, done);
-            return;
+        } else {
+            readUnavailable(id, done);
         }
-        keyed_read failed;
-        failed.result = store_result::unavailable;
-        done(std::move(failed));
     }
 
     void relayListDone(const std::string &topic, const http_exchange_result &result, const std::function<void(keyed_listing)> &done)
@@ -152,6 +186,7 @@
     logEvent("relay_changed", { { "relay", relay ? relay->value() : "none" } });
     d->relay = relay;
     d->pausedUntil = {};
+    d->failingSince.reset();
     if (d->pool) {
         // The pool is kept until reads that wait at the former relay have ended.
         d->executor.repeat(formerRelayMilliseconds, [former = std::exchange(d->pool, nullptr)] {
@@ -163,13 +198,20 @@
     }
 }
 
+time_span relayed_store::relayFailing() const
+{
+    return d->failingSince ? steadyNow() - *d->failingSince : time_span::zero();
+}
+
 std::uint64_t relayed_store::read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
 {
     const std::uint64_t id = ++d->lastRead;
     if (d->usesRelay()) {
         d->relayRead(id, topic, from, wait, std::move(done));
-    } else {
+    } else if (d->mayReadDirectly()) {
         d->readDirectly(id, topic, from, wait, std::move(done));
+    } else {
+        d->readUnavailable(id, std::move(done));
     }
     return id;
 }
--- a/apps/sycamoretrayd/gateway/relayed_store.h
+++ b/apps/sycamoretrayd/gateway/relayed_store.h
@@ -28,6 +28,9 @@
     relayed_store(const relayed_store &) = delete;
     relayed_store &operator=(const relayed_store &) = delete;
 
+    /** How long the relay has failed without an answer in between; 0 if it answers or there is none. */
+    time_span relayFailing() const;
+
     /** Sets the internal address of the relay; nothing if this instance reads the store itself. */
     void setRelay(const std::optional<network_address> &relay);
 
--- a/apps/sycamoretrayd/gateway/topic_relay.cpp
+++ b/apps/sycamoretrayd/gateway/topic_relay.cpp
@@ -144,8 +144,19 @@
         });
         const std::vector<waiting_read> due(std::make_move_iterator(kept), std::make_move_iterator(waiting.end()));
         waiting.erase(kept, waiting.end());
+        const bool current = isCurrent();
+        // Most readers wait at the same offset, so that one encoded answer serves them all.
+        std::map<std::pair<std::string, log_offset>, std::string> encoded;
         for (const waiting_read &each : due) {
-            each.slot->answer(isCurrent() ? cborAnswer(encodeRead(copies.at(each.topic).read(each.from))) : errorAnswer(result_code::log_unavailable, {}));
+            if (!current) {
+                each.slot->answer(errorAnswer(result_code::log_unavailable, {}));
+                continue;
+            }
+            std::string &body = encoded[{ each.topic, each.from }];
+            if (body.empty()) {
+                body = encodeRead(copies.at(each.topic).read(each.from));
+            }
+            each.slot->answer(cborAnswer(body));
         }
     }
 };
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -32,11 +32,17 @@
     std::uint64_t serial = 0;
     endpoint_life life;
     monotonic_time sent;
+    /** Of a grant. */
+    time_span length{};
 };
 
 // Ranges per endpoint beyond which neighbours with one owner are joined, because each range is renewed by a call of its own.
-constexpr std::size_t rangesPerEndpoint = 3;
+constexpr std::size_t rangesPerEndpoint = 2;
 constexpr std::size_t joinsPerPlan = 4;
+// A renewal takes about 0.1 ms of a core.
+constexpr double mostRenewalsPerSecond = 300;
+// An assigner may have lengthened its grants a little since it wrote its last record.
+constexpr time_span grantLengthSlack = std::chrono::milliseconds(500);
 // Renewals are spread over this time, so that they do not hold up requests all at once.
 constexpr std::uint64_t renewalSteps = 8;
 constexpr time_span renewalStep = std::chrono::milliseconds(20);
@@ -69,10 +75,14 @@
     std::optional<std::uint64_t> writeInFlight;
     std::vector<assignment> assignments;
     std::vector<listed_endpoint> endpoints;
+    std::map<network_address, endpoint_life> newestAtAddress;
+    std::map<endpoint_id, endpoint_life> newestOfId;
     monotonic_time endpointsGrewAt{};
     monotonic_time balanceFrom{};
     monotonic_time nextPlan{};
     detail::holder_lapses lapses;
+    /** Longest grant that an earlier assigner may have sent. */
+    time_span inheritedLength{};
     detail::endpoint_contact contact;
     /** Lives that have ended, and the life that has their address now. */
     std::map<endpoint_life, endpoint_life> endedLives;
@@ -109,11 +119,24 @@
     /** Returns the later process at the same address or under the same id, which shows that @p life has ended; else nullptr. */
     const endpoint_life *successorOf(const endpoint_life &life) const
     {
-        const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const listed_endpoint &endpoint) {
-            const endpoint_life &other = endpoint.entry.life;
-            return other.startedAtMs > life.startedAtMs && (other.endpoint == life.endpoint || other.address == life.address);
-        });
-        return found == endpoints.end() ? nullptr : &found->entry.life;
+        const auto byAddress = newestAtAddress.find(life.address);
+        if (byAddress != newestAtAddress.end() && byAddress->second.startedAtMs > life.startedAtMs) {
+            return &byAddress->second;
+        }
+        const auto byId = newestOfId.find(life.endpoint);
+        return byId != newestOfId.end() && byId->second.startedAtMs > life.startedAtMs ? &byId->second : nullptr;
+    }
+
+    void indexEndpoints()
+    {
+        newestAtAddress.clear();
+        newestOfId.clear();
+        for (const listed_endpoint &endpoint : endpoints) {
+            const endpoint_life &life = endpoint.entry.life;
+            endpoint_life &atAddress = newestAtAddress[life.address];
+            atAddress = life.startedAtMs > atAddress.startedAtMs ? life : atAddress;
+            newestOfId[life.endpoint] = life;
+        }
     }
 
     void noteEndedLives()
@@ -178,7 +201,7 @@
     order_id open(order_kind kind, std::uint64_t serial, const endpoint_life &life, monotonic_time now)
     {
         const order_id order(++lastOrder);
-        orders[order] = { kind, serial, life, now };
+        orders[order] = { kind, serial, life, now, grantLength() };
         if (kind == order_kind::grant) {
             ++grantsInFlight[life];
         }
@@ -188,15 +211,15 @@
     order_id grant(std::uint64_t serial, const held_grant &held, const std::string &handover, monotonic_time now)
     {
         const order_id order = open(order_kind::grant, serial, held.life, now);
-        actions.emplace_back(send_grant{ order, held.life, held.keys, held.token, settings.grantLength, handover });
+        actions.emplace_back(send_grant{ order, held.life, held.keys, held.token, grantLength(), handover });
         return order;
     }
 
     /** Latest time at which a grant that arrived up to @p now lapses on the endpoint's clock. */
-    monotonic_time lapseOfGrant(monotonic_time now) const
+    monotonic_time lapseOfGrant(monotonic_time now, time_span length) const
     {
-        const auto drift = std::chrono::duration_cast<time_span>(settings.grantLength * settings.clockDrift);
-        return now + settings.grantLength + drift + settings.lapseMargin;
+        const auto drift = std::chrono::duration_cast<time_span>(length * settings.clockDrift);
+        return now + length + drift + settings.lapseMargin;
     }
 
     bool holdsNothing(const endpoint_life &life, monotonic_time now) const
@@ -208,6 +231,19 @@
         return (inFlight == grantsInFlight.end() || inFlight->second == 0) && now >= lapses.lapse(life);
     }
 
+    /** Longer with many ranges, so that renewals take a bounded part of the assigner's processor. */
+    time_span renewInterval() const
+    {
+        const auto bounded
+            = std::chrono::duration_cast<time_span>(std::chrono::duration<double>(static_cast<double>(assignments.size()) / mostRenewalsPerSecond));
+        return std::max(settings.renewInterval, bounded);
+    }
+
+    time_span grantLength() const
+    {
+        return settings.grantLength + renewInterval() - settings.renewInterval;
+    }
+
     // --- assignments ---
 
     std::size_t indexOf(std::uint32_t key) const
@@ -438,7 +474,7 @@
         for (const held_grant &held : subject.renewUntilWritten) {
             grant(subject.serial, held, {}, now);
         }
-        subject.nextGrant = now + settings.renewInterval;
+        subject.nextGrant = now + renewInterval();
     }
 
     void clearHolders(assignment &subject, monotonic_time now)
@@ -463,7 +499,7 @@
         const endpoint_life receiver = presentLife(order.life);
         --grantsInFlight[receiver];
         if (outcome == order_outcome::accepted || outcome == order_outcome::unanswered) {
-            lapses.extend(receiver, lapseOfGrant(now));
+            lapses.extend(receiver, lapseOfGrant(now, order.length));
         }
         assignment *subject = bySerial(order.serial);
         if (subject != nullptr) {
@@ -475,7 +511,7 @@
         subject->grantOrder.reset();
         if (outcome == order_outcome::accepted) {
             subject->intact = true;
-            subject->nextGrant = order.sent + settings.renewInterval - renewalStep * static_cast<std::int64_t>(subject->serial % renewalSteps);
+            subject->nextGrant = order.sent + renewInterval() - renewalStep * static_cast<std::int64_t>(subject->serial % renewalSteps);
             if (!subject->settled) {
                 settle(*subject, now);
             }
@@ -523,6 +559,7 @@
         record.epoch = epoch;
         record.revision = revision;
         record.assigner = assigner;
+        record.grantLength = grantLength();
         record.instances = load.instances();
         record.nextToken = nextToken;
         for (const assignment &each : assignments) {
@@ -541,7 +578,8 @@
 
 void key_assigner::start(std::optional<ownership_record> record, std::uint64_t epoch, network_address assigner, time_span earlierValidity, monotonic_time now)
 {
-    const monotonic_time holdersLapse = d->lapseOfGrant(now + earlierValidity);
+    const monotonic_time holdersLapse = d->lapseOfGrant(now + earlierValidity, record ? record->grantLength + grantLengthSlack : time_span::zero());
+    d->inheritedLength = record ? record->grantLength + grantLengthSlack : time_span::zero();
     d->epoch = epoch;
     d->assigner = std::move(assigner);
     d->endpointsGrewAt = now;
@@ -567,7 +605,7 @@
 
 void key_assigner::earlierStopped(monotonic_time now)
 {
-    d->lapses.limitInherited(d->lapseOfGrant(now));
+    d->lapses.limitInherited(d->lapseOfGrant(now, d->inheritedLength));
 }
 
 void key_assigner::setEndpoints(std::vector<listed_endpoint> endpoints, monotonic_time now)
@@ -576,6 +614,7 @@
         d->endpointsGrewAt = now;
     }
     d->endpoints = std::move(endpoints);
+    d->indexEndpoints();
     d->nextPlan = now;
 }
 
--- a/libs/key_ownership/ownership_record.cpp
+++ b/libs/key_ownership/ownership_record.cpp
@@ -110,7 +110,8 @@
                                         record.nextToken,
                                         lives.rows(),
                                         std::move(rows),
-                                        record.revision });
+                                        record.revision,
+                                        record.grantLength.count() });
     return encodeCbor(document);
 }
 
@@ -126,6 +127,7 @@
         record.instances = std::max(1U, document.at(4).get<std::uint32_t>());
         record.nextToken = document.at(5).get<std::uint64_t>();
         record.revision = document.at(8).get<std::uint64_t>();
+        record.grantLength = time_span(document.at(9).get<std::int64_t>());
         std::uint32_t first = 0;
         for (const json &row : document.at(7)) {
             record.assignments.push_back(decodeAssignment(row, document.at(6), first));
--- a/libs/key_ownership/ownership_record.h
+++ b/libs/key_ownership/ownership_record.h
@@ -51,6 +51,8 @@
     network_address assigner;
     /** The assigner has stopped: no grants are sent on this record any more. */
     bool resigned = false;
+    /** Length of the grants that the assigner sends. */
+    time_span grantLength{};
     /** Instances that reported to the assigner. */
     std::uint32_t instances = 1;
     /** Lowest token that was never used. */
--- a/libs/settings/gateway_daemon_settings.cpp
+++ b/libs/settings/gateway_daemon_settings.cpp
@@ -49,6 +49,9 @@
     settings.readinessAddress = readAddress(reader, "readiness_address");
     settings.internalAddress = readAddress(reader, "internal_address");
     settings.storeAddress = readAddress(reader, "store_address");
+    constexpr double leastShare = 0.001;
+    constexpr double mostShare = 1024;
+    settings.processorShare = reader.realNumber("processor_share", settings.processorShare, leastShare, mostShare);
     constexpr std::uint64_t fewestDescriptors = 512;
     settings.descriptors = static_cast<std::uint32_t>(reader.unsignedNumber("descriptors", settings.descriptors, fewestDescriptors));
     settings.memberTimeToLive = readSeconds(reader, "member_ttl_s", settings.memberTimeToLive);
@@ -87,6 +90,7 @@
         { "readiness_address", settings.readinessAddress.value() },
         { "internal_address", settings.internalAddress.value() },
         { "store_address", settings.storeAddress.value() },
+        { "processor_share", settings.processorShare },
         { "descriptors", settings.descriptors },
         { "member_ttl_s", inSeconds(settings.memberTimeToLive) },
         { "longest_grant_s", inSeconds(settings.longestGrant) },
--- a/libs/settings/gateway_daemon_settings.h
+++ b/libs/settings/gateway_daemon_settings.h
@@ -18,6 +18,8 @@
     /** For other instances, metrics and state dumps. */
     network_address internalAddress;
     network_address storeAddress;
+    /** Processor that the instance may use, in cores. */
+    double processorShare = 1;
     /** File descriptors that the process may have. */
     std::uint32_t descriptors = 4096;
     /** Silence after which the store takes a member of a group for lost; at least what the store accepts. */
