Test the request path, the codecs and whole instances against stand-ins of the platform

- tests/unit/platform, tests/unit/directory: codecs, directory and relay copies.
- tests/integration/platform_standin.py and gateway_test.py: store, endpoints and three instances as processes; requests of each kind, a move with handover, a store outage, a draining and a lost endpoint, a killed assigner, a lost reply of an append, a stop, a deleted history.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -324,11 +324,11 @@
         }
         // Within its time to live, the store has not given the membership to another instance for silence.
         const bool mayDecide = now - assignerGroup->leadConfirmed() < settings.memberTimeToLive;
-        for (const auto &[service, assigner] : assigners) {
-            for (const assigner_action &action : assigner->act(mayDecide, now)) {
+        for (const auto &entry : assigners) {
+            for (const assigner_action &action : entry.second->act(mayDecide, now)) {
                 std::visit(
                     [&](const auto &each) {
-                        perform(service, each);
+                        perform(entry.first, each);
                     },
                     action);
             }
--- a/libs/gateway/endpoint_gate.cpp
+++ b/libs/gateway/endpoint_gate.cpp
@@ -16,6 +16,9 @@
 constexpr time_span firstBlock = std::chrono::milliseconds(50);
 constexpr time_span longestBlock = std::chrono::milliseconds(800);
 constexpr double slownessWeight = 0.15;
+constexpr double outcomeWeight = 0.08;
+// An endpoint that fails everything still counts as ten times as slow only, so that its recovery is noticed.
+constexpr double failureWeight = 0.9;
 constexpr double leastSlowness = 0.2;
 constexpr double mostSlowness = 10;
 
@@ -88,7 +91,7 @@
 
 double endpoint_gate::slowness() const noexcept
 {
-    return m_slowness;
+    return m_slowness / (1 - m_failureShare * failureWeight);
 }
 
 time_span endpoint_gate::expectedTime(time_span usual, monotonic_time now) const noexcept
@@ -96,7 +99,7 @@
     constexpr double coldFactor = 2;
     const double slots = std::max(1U, m_entry.workerSlots);
     const double queued = std::max(0.0, estimatedLoad(now) + 1 - slots);
-    const double service = m_slowness * (now < m_coldUntil ? coldFactor : 1.0);
+    const double service = slowness() * (now < m_coldUntil ? coldFactor : 1.0);
     return std::chrono::duration_cast<time_span>(usual * (service * (1 + queued / slots)));
 }
 
@@ -111,6 +114,11 @@
     m_failuresInRow = 0;
     m_blockedUntil = {};
     takeReport(reply, now);
+    const bool failure = reply.response.status >= 500;
+    countOutcome(failure);
+    if (failure) {
+        return;
+    }
     const bool waited = m_report.waiting > 0;
     // A request that may have waited says nothing about the speed of the endpoint unless it was fast all the same.
     const double ratio = static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, usual.count()));
@@ -123,6 +131,7 @@
 {
     --m_inFlight;
     takeReport(reply, now);
+    countOutcome(true);
     ++m_failuresInRow;
     if (reply.kind == reply_kind::not_run && reply.sent && !reply.misdirected) {
         // The endpoint is full, not lost.
@@ -138,6 +147,11 @@
     --m_inFlight;
 }
 
+void endpoint_gate::countOutcome(bool failure)
+{
+    m_failureShare += outcomeWeight * ((failure ? 1 : 0) - m_failureShare);
+}
+
 void endpoint_gate::takeReport(const endpoint_reply &reply, monotonic_time now)
 {
     if (reply.load) {
--- a/libs/gateway/endpoint_gate.h
+++ b/libs/gateway/endpoint_gate.h
@@ -44,7 +44,7 @@
     /** Requests at the endpoint, those of other instances included, as far as they are known. */
     double estimatedLoad(monotonic_time now) const noexcept;
 
-    /** How much longer than usual requests take here. */
+    /** How much longer than usual requests take here, those that have to be repeated included. */
     double slowness() const noexcept;
 
     /** Time from sending to the answer that a request of this usual time takes. */
@@ -62,6 +62,7 @@
     void aborted();
 
 private:
+    void countOutcome(bool failure);
     void takeReport(const endpoint_reply &reply, monotonic_time now);
 
     endpoint_entry m_entry;
@@ -71,6 +72,8 @@
     std::uint32_t m_failuresInRow = 0;
     monotonic_time m_blockedUntil{};
     double m_slowness = 1;
+    /** Share of the requests that the endpoint fails, as an average of the last ones. */
+    double m_failureShare = 0;
     endpoint_load m_report;
     /** Own requests that m_report counts. */
     std::uint32_t m_ownInReport = 0;
--- a/libs/gateway/retry_allowance.cpp
+++ b/libs/gateway/retry_allowance.cpp
@@ -1,6 +1,7 @@
 #include "gateway/retry_allowance.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sycamoretray
 {
@@ -32,6 +33,12 @@
     return m_settings.slack * usedPart / 2 / m_instances;
 }
 
+/** What is not earned by requests may be saved up for bursts of failures. */
+double retry_allowance::mostSaved() const
+{
+    return std::max(1.0, slackShare() + m_requests * m_settings.share * (1 - usedPart));
+}
+
 void retry_allowance::refill(monotonic_time now)
 {
     if (!m_started) {
@@ -42,13 +49,15 @@
     }
     const double windows = std::chrono::duration<double>(now - m_refilled) / std::chrono::duration<double>(m_settings.window);
     m_refilled = now;
-    m_balance = std::min(std::max(1.0, slackShare()), m_balance + windows * slackShare());
+    m_requests *= std::exp(-windows);
+    m_balance = std::min(mostSaved(), m_balance + windows * slackShare());
 }
 
 void retry_allowance::earn(monotonic_time now)
 {
     refill(now);
-    m_balance = std::min(std::max(1.0, slackShare()), m_balance + m_settings.share * usedPart);
+    m_requests += 1;
+    m_balance = std::min(mostSaved(), m_balance + m_settings.share * usedPart);
 }
 
 bool retry_allowance::spend(monotonic_time now)
--- a/libs/gateway/retry_allowance.h
+++ b/libs/gateway/retry_allowance.h
@@ -38,10 +38,13 @@
 private:
     void refill(monotonic_time now);
     double slackShare() const;
+    double mostSaved() const;
 
     retry_allowance_settings m_settings;
     std::uint32_t m_instances;
     double m_balance = 0;
+    /** Requests of about the last window. */
+    double m_requests = 0;
     bool m_started = false;
     monotonic_time m_refilled{};
 };
--- /dev/null
+++ b/tests/integration/gateway_test.py
@@ -0,0 +1,166 @@
+"""Instances on the platform: store, endpoints that are granted keys, three instances in two availability zones."""
+import json
+import os
+import signal
+import tempfile
+import time
+import unittest
+import uuid
+
+from platform_standin import Endpoint, StoreServer, configuration
+from processes import Process, free_address, get_json, http, wait_until
+
+BUILD = os.environ.get("SYCAMORETRAY_BUILD", "build")
+PROGRAM = os.path.join(BUILD, "apps", "sycamoretrayd", "sycamoretrayd")
+ROUTES = [("lookup", "/look/", "desk", "safe"), ("booking", "/book/", "desk", "unsafe"), ("credit", "/credit/", "ledger", "unsafe")]
+SERVICES = [("desk", True), ("ledger", False)]
+
+
+class Gateway:
+    def __init__(self, directory, name, zone, store):
+        self.caller, self.readiness, self.internal = free_address(), free_address(), free_address()
+        path = os.path.join(directory, f"{name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({"instance": name, "availability_zone": zone, "caller_address": self.caller, "readiness_address": self.readiness,
+                       "internal_address": self.internal, "store_address": store.address, "stop_limit_s": 6}, file)
+        self.process = Process(name, [PROGRAM, "gateway", f"--settings={path}"], directory)
+
+    def ready(self):
+        return http("GET", self.readiness, "/api/readiness")[0] == 200
+
+    def call(self, prefix, method="GET", key=7, body=None):
+        attempt = uuid.uuid4().hex
+        fields = {"Host": "site.example", "Attempt-Id": attempt, "Deadline-Remaining-Ms": "3000", "Shard-Key": str(key)}
+        status, reply, text = http(method, self.caller, prefix + "x", body, fields)
+        return status, reply, text, attempt
+
+    def state(self):
+        return get_json(self.internal, "/state")
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = tempfile.mkdtemp()
+        self.server = StoreServer(free_address())
+        self.store = self.server.store
+        self.store.put("keyed.op", "config", configuration(3, ROUTES, SERVICES))
+        self.endpoints = [Endpoint(self.store, f"desk-{i}", "desk", free_address()) for i in range(3)]
+        self.ledger = [Endpoint(self.store, f"ledger-{i}", "ledger", free_address(), divided=False) for i in range(2)]
+        self.gateways = [Gateway(self.directory, name, zone, self.server) for name, zone in (("a1", "z1"), ("a2", "z1"), ("b1", "z2"))]
+        for gateway in self.gateways:
+            wait_until("readiness", gateway.ready, 10)
+        wait_until("owners of all keys", self.all_served, 10)
+
+    def tearDown(self):
+        for gateway in self.gateways:
+            if gateway.process.running():
+                os.kill(gateway.process.child.pid, signal.SIGKILL)
+                gateway.process.child.wait(5)
+        for listener in self.endpoints + self.ledger + [self.server]:
+            listener.close()
+
+    def all_served(self):
+        return sum(endpoint.held_count() for endpoint in self.endpoints) == 65536 and all(self.serves(gateway) for gateway in self.gateways)
+
+    def serves(self, gateway):
+        return all(gateway.call("/look/", key=key)[0] == 200 for key in (0, 30000, 65535))
+
+    def assert_served_for(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for gateway in self.gateways:
+                for key in (1, 25000, 65000):
+                    status, _, text, _ = gateway.call("/look/", key=key)
+                    self.assertEqual(status, 200, text)
+
+    def test_requests_of_each_kind(self):
+        """Guards against changed requests and answers, and against endpoints that do not hold the key."""
+        for prefix, method, body in (("/look/", "GET", None), ("/book/", "POST", b"truck 5"), ("/credit/", "POST", b"12.50")):
+            status, reply, text, attempt = self.gateways[0].call(prefix, method, 40000, body)
+            self.assertEqual(status, 200)
+            self.assertEqual(reply["Attempt-Id"], attempt)
+            runner = next(endpoint for endpoint in self.endpoints + self.ledger if reply["Response-Signature"] == "proof-" + endpoint.name)
+            self.assertEqual(text, "done by " + runner.name)
+            self.assertIn((attempt, method, prefix + "x", body or b""), runner.runs)
+        self.assertEqual(self.gateways[1].call("/nowhere/")[0], 404)
+
+    def test_configuration_takes_effect_everywhere(self):
+        """Guards against instances that learn of a configuration late, through the relay of their zone too."""
+        self.store.put("keyed.op", "config", configuration(9, ROUTES + [("new", "/new/", "ledger", "safe")], SERVICES))
+        for gateway in self.gateways:
+            wait_until("the new route", lambda gateway=gateway: gateway.call("/new/")[0] == 200, 2)
+
+    def test_leaving_endpoint_hands_its_keys_over(self):
+        """Guards against unserved keys, a missing handover and requests for an endpoint that leaves."""
+        leaving = self.endpoints[0]
+        leaving.register("draining")
+        wait_until("move of the keys", lambda: leaving.held_count() == 0, 3)
+        wait_until("owners of all keys", self.all_served, 3)
+        self.assertIn("handover-of-" + leaving.name, [each for endpoint in self.endpoints[1:] for each in endpoint.handovers])
+        runs = len(leaving.runs)
+        self.assert_served_for(1)
+        self.assertEqual(len(leaving.runs), runs)
+
+    def test_store_outage_interrupts_nothing(self):
+        """Guards against grants that lapse and configurations that are lost while the store is away."""
+        self.store.down = True
+        with self.store.changed:
+            self.store.changed.notify_all()
+        self.assert_served_for(5)
+        self.store.down = False
+        self.store.put("keyed.op", "config", configuration(9, ROUTES + [("new", "/new/", "ledger", "safe")], SERVICES))
+        for gateway in self.gateways:
+            wait_until("the new route", lambda gateway=gateway: gateway.call("/new/")[0] == 200, 5)
+
+    def test_lost_endpoint_is_replaced(self):
+        """Guards against keys of a lost endpoint that stay unserved."""
+        lost = self.endpoints.pop(1)
+        lost.close()
+        lost.unregister()
+        started = time.monotonic()
+        wait_until("owners of all keys", self.all_served, 8)
+        print("served again after", round(time.monotonic() - started, 2), "s")
+
+    def test_lost_reply_of_an_append(self):
+        """Guards against an assigner that stops, or decides twice, when the store executes an append and its reply is lost."""
+        self.store.lose_append_replies = 3
+        self.endpoints[2].register("draining")
+        wait_until("move of the keys", lambda: self.endpoints[2].held_count() == 0, 4)
+        wait_until("owners of all keys", self.all_served, 4)
+
+    def test_killed_assigner_is_replaced(self):
+        """Guards against keys that go unserved when the instance that assigns them is killed and comes back."""
+        assigner = next(gateway for gateway in self.gateways if gateway.state()["ownership"]["leads"])
+        os.kill(assigner.process.child.pid, signal.SIGKILL)
+        assigner.process.child.wait(5)
+        self.gateways.remove(assigner)
+        self.assert_served_for(4)
+        assigner.process.start()
+        self.gateways.append(assigner)
+        wait_until("readiness", assigner.ready, 10)
+        self.assert_served_for(0.5)
+
+    def test_stop_finishes_requests(self):
+        """Guards against requests that a stop cuts off, and against a process that does not end."""
+        stopping = self.gateways.pop(0)
+        os.kill(stopping.process.child.pid, signal.SIGTERM)
+        wait_until("end of readiness", lambda: not stopping.ready(), 2)
+        self.assertEqual(stopping.call("/look/")[0], 200)
+        wait_until("end of the process", lambda: not stopping.process.running(), 7)
+        self.assertEqual(stopping.process.child.returncode, 0)
+        self.assert_served_for(1)
+
+    def test_history_of_the_store_is_deleted(self):
+        """Guards against instances that miss what happened before the oldest record."""
+        with self.store.changed:
+            for topic in self.store.topics.values():
+                topic.compact()
+        self.store.put("keyed.op", "config", configuration(9, ROUTES + [("new", "/new/", "ledger", "safe")], SERVICES))
+        with self.store.changed:
+            self.store.topic("keyed.op").compact()
+        for gateway in self.gateways:
+            wait_until("the new route", lambda gateway=gateway: gateway.call("/new/")[0] == 200, 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/integration/platform_standin.py
@@ -0,0 +1,282 @@
+"""Stand-ins of the platform: its store, and endpoints that register there and are granted keys. They speak the published protocol."""
+import base64
+import http.server
+import json
+import struct
+import threading
+import time
+import urllib.parse
+import urllib.request
+
+PARTITIONS = 12
+
+
+class Topic:
+    """One partition of a keyed topic."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.newest = {}
+        self.producers = {}
+
+    @property
+    def end(self):
+        return self.first + len(self.records)
+
+    def append(self, key, value):
+        self.records.append((key, value))
+        if value:
+            self.newest[key] = (value, self.end - 1)
+        else:
+            self.newest.pop(key, None)
+
+    def compact(self):
+        self.first = self.end
+        self.records = []
+
+
+class Store:
+    """The store's state, and the faults that a test asks for."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.topics = {}
+        self.groups = {}
+        self.down = False
+        self.lose_append_replies = 0
+        self.calls = 0
+
+    def topic(self, name):
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic, key, value):
+        """Writes like the operator and the endpoints do; None removes the key."""
+        with self.changed:
+            self.topic(topic).append(key, b"" if value is None else json.dumps(value).encode())
+            self.changed.notify_all()
+
+    def append(self, query, body):
+        topic = self.topic(query["Topic"])
+        if "Producer" in query:
+            epoch = int(query["epoch"])
+            known = topic.producers.setdefault(query["Producer"], {"epoch": -1, "next": None, "replies": {}})
+            if epoch < known["epoch"]:
+                return 409, {"why": "fenced"}
+            if epoch > known["epoch"]:
+                known.update(epoch=epoch, next=None, replies={})
+            if "Sequence" in query:
+                sequence = int(query["Sequence"])
+                if sequence in known["replies"]:
+                    return 200, known["replies"][sequence]
+                if known["next"] is not None and sequence != known["next"]:
+                    return 409, {"why": "seq", "Sequence": known["next"]}
+                known["next"] = sequence + 1
+        offset = topic.end
+        while body:
+            length = struct.unpack(">I", body[:4])[0]
+            record, body = body[4:4 + length], body[4 + length:]
+            key_length = record[0]
+            topic.append(record[1:1 + key_length].decode(), record[1 + key_length:])
+        reply = {"Offset": offset, "End": topic.end}
+        if "Sequence" in query:
+            known["replies"][int(query["Sequence"])] = reply
+        self.changed.notify_all()
+        return 200, reply
+
+    def read(self, query):
+        topic = self.topic(query["Topic"])
+        start = int(query["From"])
+        deadline = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
+        while topic.end <= start and time.monotonic() < deadline and not self.down:
+            self.changed.wait(max(0, deadline - time.monotonic()))
+        if start < topic.first:
+            return 410, {"First": topic.first}
+        content = struct.pack(">QQ", topic.end, topic.first)
+        for key, value in topic.records[start - topic.first:]:
+            record = bytes([len(key)]) + key.encode() + value
+            content += struct.pack(">I", len(record)) + record
+        return 200, content
+
+    def list(self, query):
+        topic = self.topic(query["Topic"])
+        items = [{"Key": key, "Value": base64.b64encode(value).decode(), "Offset": offset} for key, (value, offset) in sorted(topic.newest.items())]
+        return 200, {"items": items, "More": False, "End": topic.end}
+
+    def join(self, body):
+        group = self.groups.setdefault(body["group"], {"generation": 0, "members": {}})
+        now = time.monotonic()
+        members = group["members"]
+        for member in [name for name, until in members.items() if until < now]:
+            del members[member]
+            group["generation"] += 1
+        if body["Member"] not in members:
+            group["generation"] += 1
+        members[body["Member"]] = now + body["TtlMs"] / 1000
+        order = list(members)
+        parts = [[body["Topics"][0], part, 0] for part in range(PARTITIONS) if order[part % len(order)] == body["Member"]]
+        return 200, {"Generation": group["generation"], "TtlMs": body["TtlMs"], "parts": parts}
+
+    def leave(self, body):
+        self.groups.get(body["group"], {"members": {}})["members"].pop(body["Member"], None)
+        return 200, {}
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def content(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def reply(self, status, body=b"", fields=None):
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in (fields or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(content)))
+        try:
+            self.end_headers()
+            self.wfile.write(content)
+        except (BrokenPipeError, ConnectionResetError):
+            # The caller gave the call up, which tests provoke.
+            self.close_connection = True
+
+    def do_GET(self):
+        self.server.owner.handle(self, "GET")
+
+    def do_POST(self):
+        self.server.owner.handle(self, "POST")
+
+
+class Listener:
+    """An HTTP server on a thread of its own."""
+
+    def __init__(self, address):
+        host, port = address.split(":")
+        self.address = address
+        self.http = http.server.ThreadingHTTPServer((host, int(port)), Handler)
+        self.http.daemon_threads = True
+        self.http.owner = self
+        threading.Thread(target=self.http.serve_forever, args=(0.05,), daemon=True).start()
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class StoreServer(Listener):
+    def __init__(self, address):
+        self.store = Store()
+        super().__init__(address)
+
+    def handle(self, request, method):
+        target = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(target.query))
+        body = request.content()
+        store = self.store
+        with store.changed:
+            store.calls += 1
+            if store.down:
+                request.reply(503)
+                return
+            name = target.path.rsplit("/", 1)[1]
+            if name == "log-append":
+                status, reply = store.append(query, body)
+                if store.lose_append_replies > 0 and body:
+                    store.lose_append_replies -= 1
+                    request.close_connection = True
+                    return
+            elif name == "log-read":
+                status, reply = store.read(query)
+            elif name == "log-newest":
+                status, reply = store.list(query)
+            elif name == "log-join":
+                status, reply = store.join(json.loads(body))
+            else:
+                status, reply = store.leave(json.loads(body))
+        request.reply(status, reply)
+
+
+class Endpoint(Listener):
+    """An endpoint: worker slots, keys that it was granted, and an entry in the store that it renews while it lives."""
+
+    def __init__(self, store, name, service, address, zone="z1", divided=True):
+        self.store, self.name, self.service, self.zone, self.divided = store, name, service, zone, divided
+        self.lock = threading.Lock()
+        self.keys = {}
+        self.seen = [0] * 65536
+        self.handovers = []
+        self.runs = []
+        self.started_ms = int(time.time() * 1000)
+        super().__init__(address)
+        self.register("ready")
+
+    def register(self, state):
+        self.store.put("keyed.servers", self.name, {
+            "Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1", "Slots": 2, "State": state, "ColdRemainingMs": 0,
+            "Sequence": 1, "born": self.started_ms})
+
+    def unregister(self):
+        self.store.put("keyed.servers", self.name, None)
+
+    def holds(self, key):
+        return self.keys.get(key, (0, 0))[1] > time.monotonic()
+
+    def held_count(self):
+        with self.lock:
+            return sum(1 for key in self.keys if self.holds(key))
+
+    def grant(self, body):
+        keys = range(body["From"], body["Target"] + 1)
+        with self.lock:
+            if any(self.seen[key] > body["fence"] for key in keys):
+                return 409
+            for key in keys:
+                self.seen[key] = body["fence"]
+                self.keys[key] = (body["fence"], time.monotonic() + body["HoldMs"] / 1000)
+            if "Handover" in body:
+                self.handovers.append(body["Handover"])
+        return 200
+
+    def release(self, body):
+        with self.lock:
+            for key in range(body["From"], body["Target"] + 1):
+                self.seen[key] = max(self.seen[key], body["fence"])
+                self.keys.pop(key, None)
+        return 200
+
+    def run(self, request, body):
+        identity = {"Attempt-Id": request.headers["Attempt-Id"], "Instance-Id": self.name}
+        if request.headers.get("Expected-Instance", self.name) != self.name or (self.divided and not self.holds(int(request.headers["Shard-Key"]))):
+            request.reply(421, b"", {**identity, "Not-Executed": "1"})
+            return
+        self.runs.append((request.headers["Attempt-Id"], request.command, request.path, body))
+        time.sleep(0.01)
+        request.reply(200, b"done by " + self.name.encode(), {**identity, "Response-Signature": "proof-" + self.name, "Instance-Load": "0,0,2"})
+
+    def handle(self, request, method):
+        body = request.content()
+        if request.path == "/api/grant":
+            request.reply(self.grant(json.loads(body)))
+        elif request.path == "/api/release":
+            request.reply(self.release(json.loads(body)), b"", {"Handover": "handover-of-" + self.name})
+        elif request.path == "/health":
+            request.reply(200, b"", {"Instance-Id": self.name})
+        else:
+            self.run(request, body)
+
+
+def configuration(version, routes, services):
+    """Returns a configuration; routes are (name, prefix, service, kind), services (name, divided by key)."""
+    return {
+        "Version": version,
+        "Routes": {
+            "Columns": ["Name", "Hostname", "PathPrefix", "RouteType", "TimeoutMs", "TargetLatencyMs", "Priority", "TrafficSplit", "MaxAttempts", "Service"],
+            "Rows": [[name, "site.example", prefix, kind, 2000, 800, 1, None, 2, service] for name, prefix, service, kind in routes]},
+        "Services": {
+            "Columns": ["Name", "HealthCheckPath", "MaxConnections", "Protocol", "Tls", "Sharded", "WarmupS", "Grants"],
+            "Rows": [[name, "/health", 110, "h1", False, divided or None, 3.0 if divided else None, "invocation" if divided else None] for name, divided in services]},
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
--- /dev/null
+++ b/tests/unit/directory/endpoint_directory_test.cpp
@@ -0,0 +1,76 @@
+#include "directory/endpoint_directory.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoretray;
+
+namespace
+{
+
+constexpr time_span grace = std::chrono::seconds(2);
+const monotonic_time start{ std::chrono::seconds(100) };
+
+directory_record record(const char *id, std::uint64_t offset, std::uint64_t startedAtMs = 1, bool draining = false)
+{
+    endpoint_entry entry;
+    entry.life = { endpoint_id(id), startedAtMs, network_address("10.0.0.1:80") };
+    entry.draining = draining;
+    return { endpoint_id(id), entry, log_offset(offset) };
+}
+
+directory_record removal(const char *id, std::uint64_t offset)
+{
+    return { endpoint_id(id), std::nullopt, log_offset(offset) };
+}
+
+} // namespace
+
+Test(endpoint_directory, removes_at_once_while_the_source_is_read)
+{
+    endpoint_directory directory(grace);
+    cr_expect(directory.apply(record("a", 1), start));
+    cr_expect_not(directory.apply(record("a", 2), start));
+    cr_expect(directory.apply(removal("a", 3), start));
+    cr_expect(directory.endpoints().empty());
+}
+
+// Guards against dropping endpoints whose entries lapsed only because the store was away.
+Test(endpoint_directory, entry_that_lapsed_during_an_outage_has_time_to_come_back)
+{
+    endpoint_directory directory(grace);
+    directory.apply(record("back", 1), start);
+    directory.apply(record("gone", 2), start);
+    directory.apply(record("leaving", 3, 1, true), start);
+    directory.sourceLost();
+    directory.sourceReturned(start + std::chrono::seconds(5));
+    directory.apply(removal("back", 4), start + std::chrono::seconds(5));
+    directory.apply(removal("gone", 5), start + std::chrono::seconds(5));
+    directory.apply(removal("leaving", 6), start + std::chrono::seconds(5));
+    cr_expect_eq(directory.endpoints().size(), 2U);
+    directory.apply(record("back", 7), start + std::chrono::seconds(6));
+    cr_expect(directory.expire(start + std::chrono::seconds(7)));
+    cr_assert_eq(directory.endpoints().size(), 1U);
+    cr_expect(directory.endpoints().contains(endpoint_id("back")));
+    cr_expect_not(directory.expire(start + std::chrono::seconds(20)));
+}
+
+// Guards against a late registration of a process that was already replaced.
+Test(endpoint_directory, older_lives_and_older_records_are_ignored)
+{
+    endpoint_directory directory(grace);
+    directory.apply(record("a", 5, 200), start);
+    cr_expect_not(directory.apply(record("a", 6, 100), start));
+    cr_expect_not(directory.apply(removal("a", 4), start));
+    cr_expect_eq(directory.endpoints().at(endpoint_id("a")).entry.life.startedAtMs, 200U);
+}
+
+Test(endpoint_directory, listing_removes_what_it_does_not_contain)
+{
+    endpoint_directory directory(grace);
+    directory.apply(record("old", 1), start);
+    directory.apply(record("newer", 9), start);
+    cr_expect(directory.applyListing({ record("listed", 3) }, log_offset(5), start));
+    cr_expect_not(directory.endpoints().contains(endpoint_id("old")));
+    cr_expect(directory.endpoints().contains(endpoint_id("newer")), "it registered after the listing");
+    cr_expect(directory.endpoints().contains(endpoint_id("listed")));
+}
--- /dev/null
+++ b/tests/unit/directory/topic_copy_test.cpp
@@ -0,0 +1,43 @@
+#include "metadata_store/relay_codec.h"
+#include "metadata_store/topic_copy.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoretray;
+
+// Guards against readers of a relay that miss records, or get them twice.
+Test(topic_copy, readers_get_what_was_appended_since)
+{
+    topic_copy copy;
+    cr_expect_not(copy.isComplete());
+    copy.listed({ { "a", "1", log_offset(3) } }, log_offset(5));
+    copy.appended({ { "b", "2", log_offset(5) }, { "a", std::nullopt, log_offset(6) } });
+    cr_expect_eq(copy.position().value(), 7U);
+    const keyed_read all = copy.read(log_offset(5));
+    cr_expect(all.result == store_result::ok);
+    cr_expect_eq(all.records.size(), 2U);
+    cr_expect_eq(copy.read(log_offset(6)).records.size(), 1U);
+    cr_expect(copy.read(log_offset(7)).records.empty());
+    // A reader that is ahead, because it read the store itself, keeps its place.
+    cr_expect_eq(copy.read(log_offset(9)).next.value(), 9U);
+    cr_expect(copy.read(log_offset(4)).result == store_result::expired);
+    const keyed_listing listing = copy.list();
+    cr_assert_eq(listing.records.size(), 1U);
+    cr_expect_eq(listing.records[0].key, std::string("b"));
+}
+
+Test(relay_codec, survives_encoding)
+{
+    keyed_read read;
+    read.result = store_result::ok;
+    read.end = log_offset(9);
+    read.next = log_offset(9);
+    read.records = { { "k", std::string("\0\xff", 2), log_offset(7) }, { "gone", std::nullopt, log_offset(8) } };
+    const auto decoded = decodeRelayedRead(encodeRead(read));
+    cr_assert(decoded.has_value());
+    cr_assert_eq(decoded->records.size(), 2U);
+    cr_expect(*decoded->records[0].value == std::string("\0\xff", 2));
+    cr_expect_not(decoded->records[1].value.has_value());
+    cr_expect_not(decodeRelayedRead("no cbor").has_value());
+    cr_expect_not(decodeRelayedListing("").has_value());
+}
--- /dev/null
+++ b/tests/unit/platform/configuration_codec_test.cpp
@@ -0,0 +1,50 @@
+#include "platform/configuration_codec.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoretray;
+
+namespace
+{
+
+const char *const columns = R"({"Version":7,"Routes":{"Columns":["Name","Hostname","PathPrefix","RouteType","TimeoutMs","TargetLatencyMs","Priority",
+"TrafficSplit","MaxAttempts","Service"],"Rows":[["r1","H.example","/a/","safe",1200,600,2,[{"Service":"s","Weight":90},{"Service":"t","Weight":10}],2,null],
+["r2","h.example","/a/b/","unsafe",1500,800,1,null,2,"s"]]},"Services":{"Columns":["Name","HealthCheckPath","MaxConnections","Protocol","Tls","Sharded",
+"WarmupS","Grants"],"Rows":[["s","/health",110,"h1",false,true,3.0,"invocation"],["t","/health",110,"h1",false,null,null,null]]},
+"Limits":{"MaxHeaderBytes":16384}})";
+
+} // namespace
+
+Test(configuration_codec, reads_tables_of_columns_and_rows)
+{
+    std::string problem;
+    const auto routes = platform::decodeConfiguration(columns, problem);
+    cr_assert(routes != nullptr, "%s", problem.c_str());
+    cr_expect_eq(routes->version(), 7U);
+    const request_route *split = routes->find("h.example:80", "/a/x");
+    cr_assert(split != nullptr);
+    cr_expect_eq(split->name, std::string("r1"));
+    cr_expect(split->idempotent);
+    cr_expect_eq(split->targets.size(), 2U);
+    cr_expect(split->latencyTarget == std::chrono::milliseconds(600));
+    const request_route *longer = routes->find("h.EXAMPLE", "/a/b/x");
+    cr_assert(longer != nullptr);
+    cr_expect_eq(longer->name, std::string("r2"));
+    cr_expect_not(longer->idempotent);
+    cr_expect(routes->find("h.example", "/ab") == nullptr);
+    cr_expect(routes->find("other.example", "/a/x") == nullptr);
+    cr_expect(routes->service(service_id("s"))->dividedByKey);
+    cr_expect_not(routes->service(service_id("t"))->dividedByKey);
+}
+
+Test(configuration_codec, says_what_is_wrong)
+{
+    std::string problem;
+    cr_expect(platform::decodeConfiguration("{\"Version\":1}", problem) == nullptr);
+    cr_expect(problem.find("Routes") != std::string::npos);
+    cr_expect(platform::decodeConfiguration("{", problem) == nullptr);
+    std::string text = columns;
+    text.replace(text.find("1200"), 4, "-5");
+    cr_expect(platform::decodeConfiguration(text, problem) == nullptr);
+    cr_expect(problem.find("TimeoutMs") != std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/platform/endpoint_codec_test.cpp
@@ -0,0 +1,70 @@
+#include "platform/endpoint_codec.h"
+
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace sycamoretray;
+
+namespace
+{
+
+nlohmann::json entry()
+{
+    return { { "Service", "s" },   { "Address", "10.0.0.1:80" }, { "Zone", "z" },   { "Version", "v1" },       { "Slots", 2 },
+             { "State", "ready" }, { "ColdRemainingMs", 1500 },  { "Sequence", 4 }, { "born", 1700000000123 }, { "Unknown", { 1, 2 } } };
+}
+
+directory_record decode(const std::string &text, std::string &problem)
+{
+    return platform::decodeEndpoint({ "e1", text, log_offset(7) }, problem);
+}
+
+} // namespace
+
+Test(endpoint_codec, reads_an_entry_and_ignores_unknown_members)
+{
+    std::string problem;
+    const directory_record record = decode(entry().dump(), problem);
+    cr_assert(record.entry.has_value());
+    cr_expect(problem.empty());
+    cr_expect(record.id == endpoint_id("e1"));
+    cr_expect_eq(record.entry->life.startedAtMs, 1700000000123U);
+    cr_expect(record.entry->coldFor == std::chrono::milliseconds(1500));
+    cr_expect_not(record.entry->draining);
+}
+
+// Guards against using endpoints that another writer's entry describes in part.
+Test(endpoint_codec, entry_with_a_missing_or_mistyped_member_names_no_endpoint)
+{
+    for (const char *name : { "Service", "Address", "Zone", "Version", "Slots", "State", "ColdRemainingMs", "Sequence", "born" }) {
+        std::string problem;
+        nlohmann::json missing = entry();
+        missing.erase(name);
+        cr_expect_not(decode(missing.dump(), problem).entry.has_value(), "%s missing", name);
+        cr_expect_not(problem.empty());
+        nlohmann::json mistyped = entry();
+        mistyped[name] = nlohmann::json::array();
+        cr_expect_not(decode(mistyped.dump(), problem).entry.has_value(), "%s mistyped", name);
+    }
+    for (const char *text : { "", "{", "[]", "\xff\xfe", "null" }) {
+        std::string problem;
+        cr_expect_not(decode(text, problem).entry.has_value());
+        cr_expect_not(problem.empty());
+    }
+    nlohmann::json unknown = entry();
+    unknown["State"] = "asleep";
+    std::string problem;
+    cr_expect_not(decode(unknown.dump(), problem).entry.has_value());
+    nlohmann::json fraction = entry();
+    fraction["born"] = 1.5;
+    cr_expect_not(decode(fraction.dump(), problem).entry.has_value());
+}
+
+Test(endpoint_codec, record_without_a_value_is_a_removal)
+{
+    std::string problem;
+    const directory_record record = platform::decodeEndpoint({ "e1", std::nullopt, log_offset(8) }, problem);
+    cr_expect_not(record.entry.has_value());
+    cr_expect(problem.empty());
+}
--- /dev/null
+++ b/tests/unit/platform/order_codec_test.cpp
@@ -0,0 +1,37 @@
+#include "platform/order_codec.h"
+
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace sycamoretray;
+
+Test(order_codec, writes_grants_and_releases)
+{
+    const endpoint_life life{ endpoint_id("e"), 1, network_address("10.0.0.1:80") };
+    const std::string grant = platform::encodeGrant({ order_id(1), life, { 4096, 8191 }, fencing_token(12), std::chrono::milliseconds(4000), "h" });
+    cr_expect(grant.starts_with("POST /api/grant HTTP/1.1\r\n"));
+    const nlohmann::json body = nlohmann::json::parse(grant.substr(grant.find("\r\n\r\n") + 4));
+    cr_expect(body == nlohmann::json({ { "From", 4096 }, { "Target", 8191 }, { "fence", 12 }, { "HoldMs", 4000 }, { "Handover", "h" } }));
+    const std::string release = platform::encodeRelease({ order_id(2), life, { 5, 6 }, fencing_token(13) });
+    const nlohmann::json released = nlohmann::json::parse(release.substr(release.find("\r\n\r\n") + 4));
+    cr_expect(released == nlohmann::json({ { "From", 5 }, { "Target", 6 }, { "fence", 13 } }));
+}
+
+// Guards against taking an order that may have arrived for one that did not.
+Test(order_codec, tells_outcomes_apart)
+{
+    http_exchange_result result;
+    result.response.status = 200;
+    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::accepted);
+    result.response.status = 409;
+    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::superseded);
+    result.response.status = 400;
+    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::refused);
+    result.response.status = 503;
+    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::unanswered);
+    result.code = result_code::deadline_while_running;
+    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::unanswered);
+    result.sent = false;
+    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::unsent);
+}
--- /dev/null
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -0,0 +1,113 @@
+#include "platform/request_codec.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoretray;
+
+namespace
+{
+
+http_request callerRequest()
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/a/b?c=d";
+    request.body = "body";
+    request.fields = { { "Host", "h.example" },           { "Attempt-Id", "id1" }, { "Deadline-Remaining-Ms", "700" },    { "Shard-Key", "65535" },
+                       { "Expected-Instance", "forged" }, { "X-Own", "kept" },     { "Connection", "X-Hop, keep-alive" }, { "X-Hop", "dropped" } };
+    return request;
+}
+
+http_exchange_result answered(std::uint32_t status, http_fields fields)
+{
+    http_exchange_result result;
+    result.response.status = status;
+    result.response.fields = std::move(fields);
+    return result;
+}
+
+} // namespace
+
+Test(request_codec, reads_and_forwards_a_request)
+{
+    auto decoded = platform::decodeRequest(callerRequest());
+    cr_assert(std::holds_alternative<gateway_request>(decoded));
+    const auto &request = std::get<gateway_request>(decoded);
+    cr_expect_eq(request.path, std::string("/a/b"));
+    cr_expect(request.key == key_number(65535));
+    cr_expect(request.timeLeft == std::chrono::milliseconds(700));
+    const std::string wire = platform::encodeRequest(request, endpoint_id("e1"), std::chrono::milliseconds(350));
+    cr_expect(wire.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+    cr_expect(wire.find("Attempt-Id: id1\r\n") != std::string::npos);
+    cr_expect(wire.find("Deadline-Remaining-Ms: 350\r\n") != std::string::npos);
+    cr_expect(wire.find("Expected-Instance: e1\r\n") != std::string::npos);
+    cr_expect(wire.find("X-Own: kept") != std::string::npos);
+    cr_expect(wire.find("700") == std::string::npos);
+    cr_expect(wire.find("forged") == std::string::npos);
+    cr_expect(wire.find("X-Hop") == std::string::npos);
+}
+
+Test(request_codec, refuses_requests_without_an_id_or_with_a_malformed_number)
+{
+    http_request request = callerRequest();
+    std::erase_if(request.fields, [](const http_field &field) {
+        return field.name == "Attempt-Id";
+    });
+    cr_expect(std::holds_alternative<result_code>(platform::decodeRequest(request)));
+    request = callerRequest();
+    request.fields[3].value = "65536";
+    cr_expect(std::holds_alternative<result_code>(platform::decodeRequest(request)));
+}
+
+// Guards against answers of other requests, and successes that no endpoint vouches for.
+Test(request_codec, accepts_only_the_endpoints_own_answer)
+{
+    const request_id id("id1");
+    cr_expect(platform::decodeReply(answered(200, { { "Attempt-Id", "id1" }, { "Response-Signature", "p" } }), id).kind == reply_kind::answered);
+    cr_expect(platform::decodeReply(answered(200, { { "Attempt-Id", "id2" }, { "Response-Signature", "p" } }), id).kind == reply_kind::failed);
+    cr_expect(platform::decodeReply(answered(200, { { "Response-Signature", "p" } }), id).kind == reply_kind::failed);
+    cr_expect(platform::decodeReply(answered(200, { { "Attempt-Id", "id1" } }), id).kind == reply_kind::failed);
+    cr_expect(platform::decodeReply(answered(200, { { "Attempt-Id", "id1" }, { "Response-Signature", "p" }, { "Content-Encoding", "gzip" } }), id).kind
+              == reply_kind::failed);
+}
+
+// Guards against "not run" for requests that may have run.
+Test(request_codec, takes_only_the_endpoints_word_for_not_run)
+{
+    const request_id id("id1");
+    cr_expect(platform::decodeReply(answered(503, { { "Attempt-Id", "id1" }, { "Not-Executed", "1" } }), id).kind == reply_kind::not_run);
+    cr_expect(platform::decodeReply(answered(503, { { "Attempt-Id", "id1" } }), id).kind == reply_kind::failed);
+    cr_expect(platform::decodeReply(answered(429, { { "Attempt-Id", "id1" } }), id).kind == reply_kind::failed);
+    cr_expect(platform::decodeReply(answered(200, { { "Attempt-Id", "id1" }, { "Response-Signature", "p" }, { "Not-Executed", "1" } }), id).kind
+              == reply_kind::answered);
+    const endpoint_reply misdirected = platform::decodeReply(answered(421, {}), id);
+    cr_expect(misdirected.kind == reply_kind::not_run && misdirected.misdirected);
+    cr_expect(platform::decodeReply(answered(500, { { "Attempt-Id", "id1" } }), id).kind == reply_kind::answered);
+    http_exchange_result unsent;
+    unsent.code = result_code::peer_unreachable;
+    unsent.sent = false;
+    cr_expect(platform::decodeReply(unsent, id).kind == reply_kind::not_run);
+    http_exchange_result lost;
+    lost.code = result_code::server_connection_lost;
+    cr_expect(platform::decodeReply(lost, id).kind == reply_kind::failed);
+}
+
+Test(request_codec, reads_load_reports)
+{
+    const auto load = platform::decodeReply(answered(500, { { "Instance-Load", "3,1,8" } }), request_id("x")).load;
+    cr_assert(load.has_value());
+    cr_expect_eq(load->running, 3U);
+    cr_expect_eq(load->waiting, 1U);
+    cr_expect_eq(load->workerSlots, 8U);
+    cr_expect_not(platform::decodeReply(answered(500, { { "Instance-Load", "3,,8" } }), request_id("x")).load.has_value());
+}
+
+Test(request_codec, own_answers_say_when_to_return)
+{
+    const http_response refused = platform::encodeAnswer({ std::nullopt, result_code::no_owner, std::chrono::milliseconds(250) }, request_id("x"));
+    cr_expect_eq(refused.status, 503U);
+    cr_expect_eq(*findField(refused.fields, "Retry-After"), std::string("0.250"));
+    const http_response unknown = platform::encodeAnswer({ std::nullopt, result_code::deadline_while_running, std::nullopt }, request_id("x"));
+    cr_expect_eq(unknown.status, 504U);
+    cr_expect(findField(unknown.fields, "Retry-After") == nullptr);
+}
