--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -161,10 +161,15 @@
              })
     , feeds(topics, relay, executor, feedObserver())
     , stopClient(executor)
-    , ownership(
-          executor,
-          { settings.instance, settings.zone, newIncarnation(settings.instance), settings.internalAddress, settings.memberTimeToLive, settings.processorShare },
-          ownershipEnvironment())
+    , ownership(executor,
+                { settings.instance,
+                  settings.zone,
+                  newIncarnation(settings.instance),
+                  settings.internalAddress,
+                  settings.memberTimeToLive,
+                  settings.longestGrant,
+                  settings.processorShare },
+                ownershipEnvironment())
     , reports(context,
               settings.internalAddress,
               [this](const load_report &report) {
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -294,7 +294,9 @@
     {
         std::unique_ptr<key_assigner> &assigner = assigners[service];
         if (!assigner) {
-            assigner = std::make_unique<key_assigner>(service, assigner_settings());
+            assigner_settings rules;
+            rules.longestGrant = settings.longestGrant;
+            assigner = std::make_unique<key_assigner>(service, rules);
             const ownership_record *record = environment.feeds.ownership().record(service);
             assigner->start(record != nullptr ? std::optional(*record) : std::nullopt,
                             epoch,
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -21,6 +21,8 @@
     std::string incarnation;
     network_address internalAddress;
     time_span memberTimeToLive{};
+    /** Longest grant that endpoints accept. */
+    time_span longestGrant = std::chrono::seconds(10);
     /** Processor that the instance may use, in cores. */
     double processorShare = 1;
 };
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -480,9 +480,11 @@
             if (inFlight) {
                 pumpAfter(endpoint, now);
             }
-        } else if (subject.state == request_state::delayed && now >= subject.retryAt) {
-            place(subject, now);
-        } else if (subject.state == request_state::parked && subject.parkedUntil != monotonic_time{} && now >= subject.parkedUntil) {
+            return;
+        }
+        const bool retryDue = subject.state == request_state::delayed && now >= subject.retryAt;
+        const bool parkedTooLong = subject.state == request_state::parked && subject.parkedUntil != monotonic_time{} && now >= subject.parkedUntil;
+        if (retryDue || parkedTooLong) {
             place(subject, now);
         }
     }
--- a/libs/key_ownership/detail/holder_lapses.cpp
+++ b/libs/key_ownership/detail/holder_lapses.cpp
@@ -36,4 +36,10 @@
     return std::max(own == m_lapses.end() ? monotonic_time::min() : own->second, inherited == m_inherited.end() ? monotonic_time::min() : inherited->second);
 }
 
+time_span holder_lapses::remaining(const endpoint_life &life, monotonic_time now) const
+{
+    const monotonic_time until = lapse(life);
+    return until > now ? until - now : time_span::zero();
+}
+
 } // namespace sycamoretray::detail
--- a/libs/key_ownership/detail/holder_lapses.h
+++ b/libs/key_ownership/detail/holder_lapses.h
@@ -30,6 +30,9 @@
     /** Returns the time from which @p life certainly holds nothing. */
     monotonic_time lapse(const endpoint_life &life) const;
 
+    /** Returns how long @p life may still hold something; 0 if it holds nothing. */
+    time_span remaining(const endpoint_life &life, monotonic_time now) const;
+
 private:
     std::map<endpoint_life, monotonic_time> m_lapses;
     std::map<endpoint_life, monotonic_time> m_inherited;
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -241,7 +241,7 @@
 
     time_span grantLength() const
     {
-        return settings.grantLength + renewInterval() - settings.renewInterval;
+        return std::min(settings.longestGrant, settings.grantLength + renewInterval() - settings.renewInterval);
     }
 
     // --- assignments ---
@@ -299,7 +299,7 @@
         if (subject.hasOwner() && subject.grantSent && !(subject.owner == owner)) {
             subject.addHolder(presentLife(subject.owner));
             if (contact.isLost(subject.owner)) {
-                subject.lapse = std::max(time_span::zero(), lapses.lapse(subject.owner) - now);
+                subject.lapse = lapses.remaining(subject.owner, now);
             }
         }
         std::erase_if(subject.holders, [&](const clearing_holder &holder) {
@@ -547,7 +547,7 @@
         }
         holder->nextAttempt = now + settings.retryInterval;
         if (contact.isLost(order.life) && subject->lapse == time_span::zero()) {
-            subject->lapse = std::max(settings.lapseMargin, lapses.lapse(order.life) - now);
+            subject->lapse = std::max(settings.lapseMargin, lapses.remaining(order.life, now));
             ++revision;
         }
     }
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -17,6 +17,8 @@
 struct assigner_settings {
     /** Length of a grant. A key whose holder is lost without a word stays unserved for up to this time. */
     time_span grantLength = std::chrono::milliseconds(2500);
+    /** Longest grant that endpoints accept. */
+    time_span longestGrant = std::chrono::seconds(10);
     /** Leaves a successor of the assigner 1.8 s to renew every grant. */
     time_span renewInterval = std::chrono::milliseconds(700);
     /** Time between attempts of an order that failed. */
