Renew grants for 13 s without the store

Ruled out: the successor, which renewed within 10 ms of taking over, and the endpoints that left meanwhile (7 of 21).

Change: an assigner renews unbroken grants for 13 s without a confirmation. A successor that can reach neither the earlier assigner nor an endpoint waits that much longer for it.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -30,9 +30,6 @@
 // Silence of the store, in times of its usual answers, after which a relay may be out of date.
 constexpr time_span storeSilence = std::chrono::milliseconds(1600);
 constexpr std::uint32_t tickMilliseconds = 40;
-// Without a confirmation of its leadership for this long, an assigner stops renewing grants. Longer than the usual outage of the
-// store, so that keys stay served; a successor that cannot reach an endpoint waits for it.
-constexpr time_span leadershipValidity = std::chrono::seconds(8);
 constexpr time_span appendRetryInterval = std::chrono::milliseconds(100);
 constexpr time_span stopQuestionInterval = std::chrono::milliseconds(300);
 constexpr const char *groupName = "sycamoretray-assigner";
@@ -301,7 +298,7 @@
             assigner->start(record != nullptr ? std::optional(*record) : std::nullopt,
                             epoch,
                             settings.internalAddress,
-                            earlierStopped ? time_span::zero() : leadershipValidity,
+                            earlierStopped ? time_span::zero() : rules.unconfirmedValidity,
                             now);
         }
         return *assigner;
@@ -321,7 +318,7 @@
     void act()
     {
         const monotonic_time now = steadyNow();
-        if (!assignerGroup || now - assignerGroup->leadConfirmed() > leadershipValidity) {
+        if (!assignerGroup || now - assignerGroup->leadConfirmed() > assigner_settings().unconfirmedValidity) {
             return;
         }
         // Within its time to live, the store has not given the membership to another instance for silence.
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -21,6 +21,11 @@
     time_span longestGrant = std::chrono::seconds(10);
     /** Leaves a successor of the assigner 1.8 s to renew every grant. */
     time_span renewInterval = std::chrono::milliseconds(700);
+    /**
+     * Time without a confirmation of its leadership after which an assigner stops renewing. Outages of the store last up to 9 s, and
+     * the groups need a moment after it; a successor that cannot reach an endpoint waits for it.
+     */
+    time_span unconfirmedValidity = std::chrono::seconds(13);
     /** Time between attempts of an order that failed. */
     time_span retryInterval = std::chrono::milliseconds(120);
     /** Share by which an endpoint's clock may run slow. */
--- a/tests/unit/key_ownership/key_assigner_test.cpp
+++ b/tests/unit/key_ownership/key_assigner_test.cpp
@@ -29,7 +29,8 @@
     ownership_world world = settledWorld();
     world.run(std::chrono::seconds(3));
     world.setStoreAway(true);
-    world.run(std::chrono::seconds(7));
+    // The longest outage of the sites' days, and the time in which the groups deal the lead anew.
+    world.run(std::chrono::seconds(11));
     cr_expect_eq(world.servedKeys(), ownership_world::watchedKeys());
     cr_expect(world.longestUnserved() < std::chrono::milliseconds(50));
 }
--- a/tests/unit/key_ownership/ownership_world.cpp
+++ b/tests/unit/key_ownership/ownership_world.cpp
@@ -15,7 +15,6 @@
 constexpr time_span orderTimeout = std::chrono::milliseconds(250);
 constexpr time_span memberTimeToLive = std::chrono::seconds(1);
 constexpr time_span joinInterval = std::chrono::milliseconds(350);
-constexpr time_span leadershipValidity = std::chrono::seconds(8);
 
 std::uint32_t watchedKey(std::size_t index)
 {
@@ -107,7 +106,7 @@
     if (newest && !m_storeAway) {
         subject.confirmed = m_now;
     }
-    if (m_now - subject.confirmed > leadershipValidity) {
+    if (m_now - subject.confirmed > assigner_settings().unconfirmedValidity) {
         return;
     }
     for (const assigner_action &action : subject.assigner->act(m_now - subject.confirmed < memberTimeToLive, m_now)) {
@@ -348,7 +347,7 @@
     next->assigner = std::make_unique<key_assigner>(service_id("service"), assigner_settings());
     next->epoch = ++m_storeEpoch;
     next->confirmed = m_now;
-    next->assigner->start(m_stored, next->epoch, network_address("10.1.0.1:80"), leadershipValidity, m_now);
+    next->assigner->start(m_stored, next->epoch, network_address("10.1.0.1:80"), assigner_settings().unconfirmedValidity, m_now);
     m_assigners.push_back(std::move(next));
     publishDirectory();
 }
