Store ownership in parts, and read the store less often at the start

The ownership record of 327 endpoints takes tens of kilobytes, is written up to 20 times a second while keys move, and a relay passes each to 28 instances over links of 10 to 200 Mbit/s.

Change: the record is stored as a header and 64 parts of the keys, appended together, and only parts that changed are written; a view joins them. Records are written at most every 120 ms. An instance that reads for itself alone leaves 400 ms between reads. Records of the former format are not read.

Tests: a move among 700 ranges writes less than a twentieth of the whole; the random ownership runs pass through the stored form; reads within a second while records are appended all the time.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -338,6 +338,7 @@
 {
     const auto found = feeds.relays().find(settings.zone);
     const bool own = ownership.leadsZone() || found == feeds.relays().end() || found->second == settings.internalAddress;
+    topics.setReadsForOthers(ownership.leadsZone());
     topics.setRelay(own ? std::nullopt : std::optional(found->second));
 }
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -3,6 +3,7 @@
 #include "executor/steady_time.h"
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
+#include "key_ownership/ownership_parts.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
 #include "sycamoretrayd/gateway/group_membership.h"
@@ -49,6 +50,8 @@
     struct queued_write {
         service_id service;
         write_record write;
+        /** What is appended; an append that is repeated has to be the same. */
+        std::vector<keyed_value> records;
     };
 
     serial_executor executor;
@@ -73,6 +76,7 @@
     bool earlierStopped = true;
     monotonic_time nextStopQuestion{};
     std::deque<queued_write> writes;
+    ownership_record_writer recordWriter;
     bool writing = false;
     monotonic_time nextWrite{};
 
@@ -156,13 +160,15 @@
             return;
         }
         announcing = true;
-        environment.store.append(
-            platform::ownershipTopic, relayKey(settings.zone), settings.internalAddress.value(), std::nullopt, [weak = weak_from_this()](const append_reply &) {
-                // Whatever the outcome: the record is read back, or written again after the next join.
-                if (const auto self = weak.lock()) {
-                    self->announcing = false;
-                }
-            });
+        environment.store.append(platform::ownershipTopic,
+                                 { { relayKey(settings.zone), settings.internalAddress.value() } },
+                                 std::nullopt,
+                                 [weak = weak_from_this()](const append_reply &) {
+                                     // Whatever the outcome: the record is read back, or written again after the next join.
+                                     if (const auto self = weak.lock()) {
+                                         self->announcing = false;
+                                     }
+                                 });
     }
 
     bool isRelay() const
@@ -183,6 +189,7 @@
             assigners.clear();
             writes.clear();
             writing = false;
+            recordWriter.forgetAll();
             break;
         case leadership_phase::claiming:
             claim();
@@ -203,7 +210,6 @@
         claimEnd = log_offset(std::numeric_limits<std::uint64_t>::max());
         logEvent("assigner_claims", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
         environment.store.append(platform::ownershipTopic,
-                                 {},
                                  {},
                                  producer_position{ producerName, epoch, std::nullopt },
                                  [weak = weak_from_this(), claimed = epoch](const append_reply &reply) {
@@ -373,7 +379,7 @@
 
     void perform(const service_id &service, const write_record &action)
     {
-        writes.push_back({ service, action });
+        writes.push_back({ service, action, {} });
     }
 
     // --- writing ---
@@ -384,10 +390,12 @@
             return;
         }
         writing = true;
-        const queued_write &next = writes.front();
+        queued_write &next = writes.front();
+        if (next.records.empty()) {
+            next.records = recordWriter.changes(next.write.record);
+        }
         environment.store.append(platform::ownershipTopic,
-                                 next.service.value(),
-                                 encodeOwnershipRecord(next.write.record),
+                                 next.records,
                                  producer_position{ producerName, epoch, nextSequence },
                                  [weak = weak_from_this(), sentIn = epoch](const append_reply &reply) {
                                      const auto self = weak.lock();
@@ -430,6 +438,9 @@
         const queued_write done = std::move(writes.front());
         writes.pop_front();
         ++nextSequence;
+        if (success) {
+            recordWriter.written(done.write.record);
+        }
         const auto found = assigners.find(done.service);
         if (found != assigners.end()) {
             found->second->recordWritten(done.write.revision, success, steadyNow());
@@ -448,8 +459,7 @@
             // A successor need not wait for grants of a resigned assigner.
             for (const auto &[service, assigner] : assigners) {
                 environment.store.append(platform::ownershipTopic,
-                                         service.value(),
-                                         encodeOwnershipRecord(assigner->resignation()),
+                                         recordWriter.changes(assigner->resignation()),
                                          producer_position{ producerName, epoch, nextSequence++ },
                                          [](const append_reply &) {});
             }
--- a/apps/sycamoretrayd/gateway/relayed_store.cpp
+++ b/apps/sycamoretrayd/gateway/relayed_store.cpp
@@ -23,6 +23,9 @@
 constexpr time_span directPause = std::chrono::milliseconds(2000);
 // Longer than a relay holds a read and its caller waits for it.
 constexpr std::uint32_t formerRelayMilliseconds = 15000;
+// Between reads of the store by an instance that reads for itself alone: hundreds of records arrive within seconds when a site
+// starts, and every read of every instance is paid for. Leaving endpoints and configurations have to be known within 2 s.
+constexpr time_span ownReadSpacing = std::chrono::milliseconds(400);
 constexpr std::uint64_t mostReplyBytes = 16ULL * 1024 * 1024;
 
 connection_pool_settings poolSettings()
@@ -48,6 +51,7 @@
     std::function<bool()> storeAnswers;
     std::optional<network_address> relay;
     std::shared_ptr<http_connection_pool> pool;
+    bool readsForOthers = false;
     monotonic_time pausedUntil{};
     monotonic_time directPausedUntil{};
     /** Since when the relay has failed. */
@@ -203,6 +207,16 @@
     return d->failingSince ? steadyNow() - *d->failingSince : time_span::zero();
 }
 
+void relayed_store::setReadsForOthers(bool readsForOthers)
+{
+    d->readsForOthers = readsForOthers;
+}
+
+time_span relayed_store::readSpacing() const
+{
+    return d->readsForOthers || d->usesRelay() ? d->store.readSpacing() : ownReadSpacing;
+}
+
 std::uint64_t relayed_store::read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
 {
     const std::uint64_t id = ++d->lastRead;
@@ -245,12 +259,11 @@
 }
 
 void relayed_store::append(const std::string &topic,
-                           const std::string &key,
-                           const std::string &value,
+                           const std::vector<keyed_value> &records,
                            const std::optional<producer_position> &position,
                            std::function<void(append_reply)> done)
 {
-    d->store.append(topic, key, value, position, std::move(done));
+    d->store.append(topic, records, position, std::move(done));
 }
 
 void relayed_store::join(const std::string &group,
--- a/apps/sycamoretrayd/gateway/relayed_store.h
+++ b/apps/sycamoretrayd/gateway/relayed_store.h
@@ -34,12 +34,17 @@
     /** Sets the internal address of the relay; nothing if this instance reads the store itself. */
     void setRelay(const std::optional<network_address> &relay);
 
+    /** Others read from this instance, so that it reads the store without delay. */
+    void setReadsForOthers(bool readsForOthers);
+
+    /** Longer while this instance reads the store for itself alone, as all do at the start and after the loss of a relay. */
+    time_span readSpacing() const override;
+
     std::uint64_t read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done) override;
     void abort(std::uint64_t read) override;
     void list(const std::string &topic, const std::string &after, std::function<void(keyed_listing)> done) override;
     void append(const std::string &topic,
-                const std::string &key,
-                const std::string &value,
+                const std::vector<keyed_value> &records,
                 const std::optional<producer_position> &position,
                 std::function<void(append_reply)> done) override;
     void join(const std::string &group,
--- a/apps/sycamoretrayd/gateway/store_feeds.cpp
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -163,6 +163,19 @@
         return copying(platform::operatorTopic, std::move(result));
     }
 
+    bool takeOwnershipRecord(const std::string &key, const std::string &value)
+    {
+        if (isPartKey(key)) {
+            if (auto part = decodeOwnershipPart(value)) {
+                return ownership.applyPart(std::move(*part));
+            }
+        } else if (auto header = decodeOwnershipHeader(value)) {
+            return ownership.applyHeader(std::move(*header));
+        }
+        logEvent(event_severity::error, "ownership_record_unreadable", { { "key", key } });
+        return false;
+    }
+
     void takeOwnership(const std::vector<keyed_record> &records)
     {
         bool changed = false;
@@ -176,12 +189,7 @@
                 relaysChanged = true;
                 continue;
             }
-            auto decoded = decodeOwnershipRecord(*record.value);
-            if (!decoded) {
-                logEvent(event_severity::error, "ownership_record_unreadable", { { "key", record.key } });
-                continue;
-            }
-            changed = ownership.apply(std::move(*decoded)) || changed;
+            changed = takeOwnershipRecord(record.key, *record.value) || changed;
         }
         if (changed) {
             observer.ownershipChanged();
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -73,6 +73,7 @@
     std::uint64_t revision = 0;
     std::uint64_t written = 0;
     std::optional<std::uint64_t> writeInFlight;
+    monotonic_time nextWrite{};
     std::vector<assignment> assignments;
     std::vector<listed_endpoint> endpoints;
     std::map<network_address, endpoint_life> newestAtAddress;
@@ -675,8 +676,9 @@
     if (mayDecide && !d->writeInFlight && now >= d->nextPlan) {
         d->plan(now);
     }
-    if (mayDecide && !d->writeInFlight && d->revision > d->written) {
+    if (mayDecide && !d->writeInFlight && d->revision > d->written && now >= d->nextWrite) {
         d->writeInFlight = d->revision;
+        d->nextWrite = now + d->settings.writeInterval;
         d->actions.emplace_back(write_record{ d->toOwnershipRecord(), d->revision });
     }
     for (assignment &each : d->assignments) {
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -39,6 +39,11 @@
     time_span settleInterval = std::chrono::milliseconds(1000);
     /** Time between probes of an endpoint that did not answer. */
     time_span probeInterval = std::chrono::milliseconds(1000);
+    /**
+     * Least time between two writes of the record. Each write is read by a relay of every zone and passed on to all instances, so
+     * what settles within this time goes into one.
+     */
+    time_span writeInterval = std::chrono::milliseconds(120);
     /** Moves for balance that may be under way at a time. */
     std::uint32_t concurrentMoves = 8;
 };
--- a/libs/key_ownership/ownership_record.cpp
+++ b/libs/key_ownership/ownership_record.cpp
@@ -50,18 +50,6 @@
     return { endpoint_id(row.at(0).get<std::string>()), row.at(1).get<std::uint64_t>(), network_address(row.at(2).get<std::string>()) };
 }
 
-bool coversEveryKey(const std::vector<key_assignment> &assignments)
-{
-    std::uint32_t next = 0;
-    for (const key_assignment &each : assignments) {
-        if (each.keys.first != next || each.keys.last < each.keys.first || each.keys.last >= keyCount) {
-            return false;
-        }
-        next = each.keys.last + 1;
-    }
-    return next == keyCount;
-}
-
 json encodeAssignment(const key_assignment &assignment, life_table &lives)
 {
     json others = json::array();
@@ -95,47 +83,51 @@
 
 } // namespace
 
-std::string encodeOwnershipRecord(const ownership_record &record)
+json encodeAssignments(const std::vector<key_assignment> &assignments)
 {
     life_table lives;
     json rows = json::array();
-    for (const key_assignment &each : record.assignments) {
+    for (const key_assignment &each : assignments) {
         rows.push_back(encodeAssignment(each, lives));
     }
-    const json document = json::array({ record.service.value(),
-                                        record.epoch,
-                                        record.assigner.value(),
-                                        record.resigned,
-                                        record.instances,
-                                        record.nextToken,
-                                        lives.rows(),
-                                        std::move(rows),
-                                        record.revision,
-                                        record.grantLength.count() });
-    return encodeCbor(document);
+    return json::array({ lives.rows(), std::move(rows) });
+}
+
+std::vector<key_assignment> decodeAssignments(const json &document, std::uint32_t first)
+{
+    std::vector<key_assignment> assignments;
+    for (const json &row : document.at(1)) {
+        assignments.push_back(decodeAssignment(row, document.at(0), first));
+        first = assignments.back().keys.last + 1;
+    }
+    return assignments;
+}
+
+std::string encodeOwnershipHeader(const ownership_record &record)
+{
+    return encodeCbor(json::array({ record.service.value(),
+                                    record.epoch,
+                                    record.revision,
+                                    record.assigner.value(),
+                                    record.resigned,
+                                    record.instances,
+                                    record.nextToken,
+                                    record.grantLength.count() }));
 }
 
-std::optional<ownership_record> decodeOwnershipRecord(std::string_view data)
+std::optional<ownership_record> decodeOwnershipHeader(std::string_view data)
 {
     try {
         const json document = decodeCbor(data);
         ownership_record record;
         record.service = service_id(document.at(0).get<std::string>());
         record.epoch = document.at(1).get<std::uint64_t>();
-        record.assigner = network_address(document.at(2).get<std::string>());
-        record.resigned = document.at(3).get<bool>();
-        record.instances = std::max(1U, document.at(4).get<std::uint32_t>());
-        record.nextToken = document.at(5).get<std::uint64_t>();
-        record.revision = document.at(8).get<std::uint64_t>();
-        record.grantLength = time_span(document.at(9).get<std::int64_t>());
-        std::uint32_t first = 0;
-        for (const json &row : document.at(7)) {
-            record.assignments.push_back(decodeAssignment(row, document.at(6), first));
-            first = record.assignments.back().keys.last + 1;
-        }
-        if (!coversEveryKey(record.assignments)) {
-            return std::nullopt;
-        }
+        record.revision = document.at(2).get<std::uint64_t>();
+        record.assigner = network_address(document.at(3).get<std::string>());
+        record.resigned = document.at(4).get<bool>();
+        record.instances = std::max(1U, document.at(5).get<std::uint32_t>());
+        record.nextToken = document.at(6).get<std::uint64_t>();
+        record.grantLength = time_span(document.at(7).get<std::int64_t>());
         return record;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/libs/key_ownership/ownership_record.h
+++ b/libs/key_ownership/ownership_record.h
@@ -4,6 +4,8 @@
 #include "base/monotonic_time.h"
 #include "directory/endpoint_entry.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,9 +40,11 @@
     bool settled = false;
     /** How long the keys stay unserved because a holder that does not answer has to lapse, when the record was written; else 0. */
     time_span lapse{};
+
+    friend bool operator==(const key_assignment &, const key_assignment &) = default;
 };
 
-/** Ownership of all keys of one service, as it stands in the metadata store. */
+/** Ownership of all keys of one service. The metadata store holds it as a header and parts, see ownership_parts.h. */
 struct ownership_record {
     service_id service;
     /** Producer epoch of the assigner that wrote the record. */
@@ -61,10 +65,16 @@
     std::vector<key_assignment> assignments;
 };
 
-/** Encodes @p record as CBOR. Thread-safe. */
-std::string encodeOwnershipRecord(const ownership_record &record);
+/** Encodes everything but the assignments as CBOR. Thread-safe. */
+std::string encodeOwnershipHeader(const ownership_record &record);
+
+/** Decodes a header into a record without assignments; nothing if @p data is malformed. Thread-safe. */
+std::optional<ownership_record> decodeOwnershipHeader(std::string_view data);
+
+/** Encodes consecutive assignments as a CBOR document. Thread-safe. */
+nlohmann::json encodeAssignments(const std::vector<key_assignment> &assignments);
 
-/** Decodes a record; nothing if @p data is malformed or does not cover every key once, in order. Thread-safe. */
-std::optional<ownership_record> decodeOwnershipRecord(std::string_view data);
+/** Decodes assignments, the first of which begins with the key @p first. Throws nlohmann::json::exception. Thread-safe. */
+std::vector<key_assignment> decodeAssignments(const nlohmann::json &document, std::uint32_t first);
 
 } // namespace sycamoretray
--- a/libs/key_ownership/ownership_view.cpp
+++ b/libs/key_ownership/ownership_view.cpp
@@ -6,17 +6,78 @@
 namespace sycamoretray
 {
 
-bool ownership_view::apply(ownership_record record)
+bool ownership_view::version::isOlderThan(std::uint64_t otherEpoch, std::uint64_t otherRevision) const noexcept
 {
-    const auto known = m_records.find(record.service);
-    if (known != m_records.end() && std::pair(record.epoch, record.revision) < std::pair(known->second.epoch, known->second.revision)) {
+    return !known || std::pair(epoch, revision) <= std::pair(otherEpoch, otherRevision);
+}
+
+void ownership_view::version::set(std::uint64_t newEpoch, std::uint64_t newRevision) noexcept
+{
+    epoch = newEpoch;
+    revision = newRevision;
+    known = true;
+}
+
+bool ownership_view::service_versions::isComplete() const noexcept
+{
+    return header.known && std::all_of(parts.begin(), parts.end(), [](const version &each) {
+               return each.known;
+           });
+}
+
+ownership_record &ownership_view::obtain(const service_id &service)
+{
+    const auto found = m_records.find(service);
+    return found != m_records.end() ? found->second : m_incomplete[service];
+}
+
+void ownership_view::moveIfComplete(const service_id &service)
+{
+    const auto found = m_incomplete.find(service);
+    if (found != m_incomplete.end() && m_versions[service].isComplete()) {
+        m_records.insert(m_incomplete.extract(found));
+    }
+}
+
+bool ownership_view::applyHeader(ownership_record header)
+{
+    const service_id service = header.service;
+    version &known = m_versions[service].header;
+    if (!known.isOlderThan(header.epoch, header.revision)) {
         return false;
     }
-    const service_id service = record.service;
-    m_records.insert_or_assign(service, std::move(record));
+    known.set(header.epoch, header.revision);
+    ownership_record &record = obtain(service);
+    header.assignments = std::move(record.assignments);
+    record = std::move(header);
+    moveIfComplete(service);
     return true;
 }
 
+bool ownership_view::applyPart(ownership_part part)
+{
+    const service_id service = part.service;
+    version &known = m_versions[service].parts[part.index];
+    if (!known.isOlderThan(part.epoch, part.revision)) {
+        return false;
+    }
+    known.set(part.epoch, part.revision);
+    mergePart(obtain(service), std::move(part));
+    moveIfComplete(service);
+    return true;
+}
+
+bool ownership_view::apply(const ownership_record &record)
+{
+    ownership_record header = record;
+    header.assignments.clear();
+    bool taken = applyHeader(std::move(header));
+    for (ownership_part &part : partsOf(record)) {
+        taken = applyPart(std::move(part)) || taken;
+    }
+    return taken;
+}
+
 key_owner ownership_view::find(const service_id &service, key_number key) const
 {
     const ownership_record *found = record(service);
--- a/libs/metadata_store/keyed_topic_follower.cpp
+++ b/libs/metadata_store/keyed_topic_follower.cpp
@@ -92,7 +92,7 @@
         listed = true;
         logEvent("topic_listed", { { "topic", topic }, { "records", std::to_string(listing.size()) }, { "end", std::to_string(position.value()) } });
         observer.listed(std::exchange(listing, {}), listingEnd);
-        after(settings.readSpacing, &impl::read);
+        after(store->readSpacing(), &impl::read);
     }
 
     void read()
@@ -125,7 +125,7 @@
             observer.appended(reply.records);
         }
         if (!closed) {
-            after(settings.readSpacing, &impl::read);
+            after(store->readSpacing(), &impl::read);
         }
     }
 
--- a/libs/metadata_store/keyed_topic_follower.h
+++ b/libs/metadata_store/keyed_topic_follower.h
@@ -15,8 +15,6 @@
      * how late it is learnt; each call is paid for, so it is no shorter.
      */
     time_span readWait = std::chrono::milliseconds(1000);
-    /** Time between two reads, so that records which arrive together cost one call. */
-    time_span readSpacing = std::chrono::milliseconds(40);
     time_span firstRetry = std::chrono::milliseconds(150);
     time_span longestRetry = std::chrono::milliseconds(800);
 };
--- a/libs/metadata_store/metadata_store.h
+++ b/libs/metadata_store/metadata_store.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "metadata_store/keyed_value.h"
 
 #include <cstdint>
 #include <functional>
@@ -92,16 +93,21 @@
      */
     virtual std::uint64_t read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done) = 0;
 
+    /** Time to leave between the end of a read and the next one of the same topic: records that arrive together cost one call. */
+    virtual time_span readSpacing() const
+    {
+        return std::chrono::milliseconds(40);
+    }
+
     /** Gives up a read; its callback is not called. */
     virtual void abort(std::uint64_t read) = 0;
 
     /** Lists the newest record of each key after @p after, in pages that are not a snapshot. */
     virtual void list(const std::string &topic, const std::string &after, std::function<void(keyed_listing)> done) = 0;
 
-    /** Appends one record; with an empty @p key it only sets the epoch of the producer. */
+    /** Appends all of @p records or none; without any it only sets the epoch of the producer. */
     virtual void append(const std::string &topic,
-                        const std::string &key,
-                        const std::string &value,
+                        const std::vector<keyed_value> &records,
                         const std::optional<producer_position> &position,
                         std::function<void(append_reply)> done)
         = 0;
--- a/tests/unit/key_ownership/ownership_record_test.cpp
+++ b/tests/unit/key_ownership/ownership_record_test.cpp
@@ -26,30 +26,128 @@
 
 } // namespace
 
-Test(ownership_record, survives_encoding)
+namespace
+{
+
+/** Ownership of as many ranges as a site with hundreds of endpoints has. */
+ownership_record largeRecord()
+{
+    constexpr std::uint32_t ranges = 700;
+    ownership_record record;
+    record.service = service_id("s");
+    record.epoch = 1;
+    for (std::uint32_t i = 0; i < ranges; ++i) {
+        const std::string name = "endpoint-" + std::to_string(i / 2);
+        const endpoint_life owner{ endpoint_id(name), 1'700'000'000'000ULL + i, network_address("10.1.64.1:" + std::to_string(8000 + i / 2)) };
+        const key_range keys{ i * (keyCount / ranges), i + 1 == ranges ? keyCount - 1 : (i + 1) * (keyCount / ranges) - 1 };
+        record.assignments.push_back({ keys, owner, fencing_token(2 * i + 2), {}, fencing_token(2 * i + 1), true, {} });
+    }
+    return record;
+}
+
+std::size_t bytesOf(const std::vector<keyed_value> &records)
+{
+    std::size_t bytes = 0;
+    for (const keyed_value &each : records) {
+        bytes += each.key.size() + each.value.size();
+    }
+    return bytes;
+}
+
+/** Applies what the store would pass on. */
+void deliver(ownership_view &view, const std::vector<keyed_value> &records)
+{
+    for (const keyed_value &each : records) {
+        if (isPartKey(each.key)) {
+            cr_assert(view.applyPart(decodeOwnershipPart(each.value).value()));
+        } else {
+            cr_assert(view.applyHeader(decodeOwnershipHeader(each.value).value()));
+        }
+    }
+}
+
+} // namespace
+
+Test(ownership_record, survives_the_store)
+{
+    const ownership_record_writer writer;
+    ownership_view view;
+    const auto records = writer.changes(sample());
+    cr_assert_eq(records.size(), 1 + ownershipPartCount);
+    deliver(view, { records.begin(), records.end() - 1 });
+    cr_expect_null(view.record(service_id("s")), "a part is missing");
+    deliver(view, { records.back() });
+    const ownership_record *known = view.record(service_id("s"));
+    cr_assert_not_null(known);
+    cr_expect_eq(known->epoch, 3U);
+    cr_expect_eq(known->revision, 9U);
+    cr_expect_eq(known->nextToken, 40U);
+    cr_expect_eq(known->instances, 8U);
+    cr_expect(known->assigner == network_address("10.1.0.1:7000"));
+    cr_expect(known->assignments == sample().assignments, "what was divided is joined again");
+}
+
+// Load pattern: moves on a site with hundreds of endpoints. A move writes little, and every instance reads little.
+Test(ownership_record, move_writes_a_small_part_of_a_large_record)
 {
-    const auto decoded = decodeOwnershipRecord(encodeOwnershipRecord(sample()));
-    cr_assert(decoded.has_value());
-    cr_expect_eq(decoded->epoch, 3U);
-    cr_expect_eq(decoded->revision, 9U);
-    cr_expect_eq(decoded->nextToken, 40U);
-    cr_assert_eq(decoded->assignments.size(), 2U);
-    const key_assignment &second = decoded->assignments[1];
-    cr_expect_eq(second.keys.first, 100U);
-    cr_expect(second.owner.endpoint == endpoint_id("b"));
-    cr_assert_eq(second.otherHolders.size(), 1U);
-    cr_expect(second.otherHolders[0].address == network_address("10.0.0.1:80"));
-    cr_expect(second.lapse == std::chrono::milliseconds(1200));
+    ownership_record_writer writer;
+    ownership_view view;
+    ownership_record record = largeRecord();
+    const auto whole = writer.changes(record);
+    deliver(view, whole);
+    writer.written(record);
+    record.revision = 1;
+    record.assignments[350].owner = record.assignments[10].owner;
+    record.assignments[350].settled = false;
+    const auto change = writer.changes(record);
+    cr_expect(bytesOf(change) * 20 < bytesOf(whole), "%zu of %zu bytes", bytesOf(change), bytesOf(whole));
+    deliver(view, change);
+    cr_expect(view.record(service_id("s"))->assignments == record.assignments);
+}
+
+// Guards against parts that stay out of the store because a write was given up.
+Test(ownership_record, changes_are_written_again_until_they_are_acknowledged)
+{
+    ownership_record_writer writer;
+    ownership_record record = largeRecord();
+    writer.written(record);
+    record.assignments[0].settled = false;
+    cr_expect_eq(writer.changes(record).size(), 2U);
+    cr_expect_eq(writer.changes(record).size(), 2U);
+    writer.written(record);
+    cr_expect_eq(writer.changes(record).size(), 1U);
+    writer.forgetAll();
+    cr_expect_eq(writer.changes(record).size(), 1 + ownershipPartCount);
 }
 
 // Guards against records that leave keys out, or hold them twice.
 Test(ownership_record, refuses_what_does_not_cover_every_key_once)
 {
-    ownership_record gap = sample();
-    gap.assignments.pop_back();
-    cr_expect_not(decodeOwnershipRecord(encodeOwnershipRecord(gap)).has_value());
-    cr_expect_not(decodeOwnershipRecord("no cbor").has_value());
-    cr_expect_not(decodeOwnershipRecord("").has_value());
+    ownership_part part = partsOf(sample())[0];
+    cr_assert(decodeOwnershipPart(encodeOwnershipPart(part)).has_value());
+    part.assignments.pop_back();
+    cr_expect_not(decodeOwnershipPart(encodeOwnershipPart(part)).has_value());
+    part = partsOf(sample())[3];
+    part.index = ownershipPartCount;
+    cr_expect_not(decodeOwnershipPart(encodeOwnershipPart(part)).has_value());
+    cr_expect_not(decodeOwnershipPart("no cbor").has_value());
+    cr_expect_not(decodeOwnershipHeader("").has_value());
+}
+
+// Guards against a part of an older change that arrives after a newer one.
+Test(ownership_view, keeps_the_newest_part)
+{
+    ownership_view view;
+    view.apply(sample());
+    ownership_part older = partsOf(sample())[5];
+    older.revision = 8;
+    cr_expect_not(view.applyPart(older));
+    ownership_part newer = older;
+    newer.revision = 10;
+    newer.assignments.front().owner.endpoint = endpoint_id("c");
+    cr_expect(view.applyPart(newer));
+    cr_expect(view.find(service_id("s"), key_number(5 * 1024)).owner.endpoint == endpoint_id("c"));
+    cr_expect(view.find(service_id("s"), key_number(6 * 1024)).owner.endpoint == endpoint_id("b"));
 }
 
 // Guards against a return to older owners when records arrive twice or out of order.
--- a/tests/unit/key_ownership/ownership_world.cpp
+++ b/tests/unit/key_ownership/ownership_world.cpp
@@ -155,7 +155,15 @@
             write(subject, action);
             return;
         }
-        m_stored = action.record;
+        for (const keyed_value &each : subject.writer.changes(action.record)) {
+            if (isPartKey(each.key)) {
+                m_view.applyPart(decodeOwnershipPart(each.value).value());
+            } else {
+                m_view.applyHeader(decodeOwnershipHeader(each.value).value());
+            }
+        }
+        subject.writer.written(action.record);
+        m_stored = *m_view.record(action.record.service);
         if (subject.assigner) {
             subject.assigner->recordWritten(action.revision, true, m_now);
         }
--- a/tests/unit/key_ownership/ownership_world.h
+++ b/tests/unit/key_ownership/ownership_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "key_ownership/key_assigner.h"
+#include "key_ownership/ownership_view.h"
 
 #include <cstdint>
 #include <map>
@@ -91,6 +92,7 @@
         monotonic_time confirmed{};
         monotonic_time frozenUntil{};
         bool leads = true;
+        ownership_record_writer writer;
     };
     using task = std::function<void()>;
 
@@ -117,6 +119,8 @@
     std::vector<process> m_processes;
     std::vector<std::unique_ptr<assigner_process>> m_assigners;
     std::optional<ownership_record> m_stored;
+    /** What the store passes on to readers. */
+    ownership_view m_view;
     std::uint64_t m_storeEpoch = 0;
     bool m_storeAway = false;
     std::uint64_t m_lives = 0;
--- /dev/null
+++ b/tests/unit/metadata_store/read_spacing_test.cpp
@@ -0,0 +1,106 @@
+#include "executor/serial_executor.h"
+#include "executor/steady_time.h"
+#include "metadata_store/keyed_topic_follower.h"
+#include "sycamoretrayd/gateway/relayed_store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+using namespace sycamoretray;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** A store in which a record is appended every 10 ms. Reads are answered at once, with what there is. */
+class busy_store : public metadata_store
+{
+public:
+    explicit busy_store(serial_executor executor)
+        : m_executor(std::move(executor))
+        , m_started(steadyNow())
+    {
+    }
+
+    int reads = 0;
+
+    std::uint64_t read(const std::string & /*topic*/, log_offset from, time_span /*wait*/, std::function<void(keyed_read)> done) override
+    {
+        ++reads;
+        keyed_read reply;
+        reply.result = store_result::ok;
+        reply.end = log_offset(static_cast<std::uint64_t>((steadyNow() - m_started) / 10ms));
+        reply.next = std::max(from, reply.end);
+        m_executor.post([reply, done = std::move(done)] {
+            done(reply);
+        });
+        return 0;
+    }
+    void abort(std::uint64_t /*read*/) override
+    {
+    }
+    void list(const std::string & /*topic*/, const std::string & /*after*/, std::function<void(keyed_listing)> done) override
+    {
+        m_executor.post([done = std::move(done)] {
+            keyed_listing reply;
+            reply.result = store_result::ok;
+            done(reply);
+        });
+    }
+    void append(const std::string & /*topic*/,
+                const std::vector<keyed_value> & /*records*/,
+                const std::optional<producer_position> & /*position*/,
+                std::function<void(append_reply)> /*done*/) override
+    {
+    }
+    void join(const std::string & /*group*/,
+              const std::string & /*member*/,
+              const std::string & /*topic*/,
+              time_span /*timeToLive*/,
+              std::uint64_t /*generation*/,
+              std::function<void(join_reply)> /*done*/) override
+    {
+    }
+    void leave(const std::string & /*group*/, const std::string & /*member*/) override
+    {
+    }
+
+private:
+    serial_executor m_executor;
+    monotonic_time m_started;
+};
+
+/** Reads within a second by an instance that has no relay. */
+int readsWithinASecond(bool readsForOthers)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    busy_store store(executor);
+    relayed_store relayed(store, executor, [] {
+        return true;
+    });
+    relayed.setReadsForOthers(readsForOthers);
+    topic_observer observer;
+    observer.listed = [](const std::vector<keyed_record> &, log_offset) {};
+    observer.appended = [](const std::vector<keyed_record> &) {};
+    keyed_topic_follower follower(relayed, "keyed.t", executor, {}, observer);
+    follower.start();
+    context.run_for(1s);
+    return store.reads;
+}
+
+} // namespace
+
+// Load pattern: the start of a site, when hundreds of endpoints register while every instance still reads the store for itself.
+Test(read_spacing, instance_that_reads_for_itself_pays_for_few_calls)
+{
+    const int reads = readsWithinASecond(false);
+    cr_expect(reads >= 1 && reads <= 3, "%d reads", reads);
+}
+
+// Guards against a relay that delays what it passes on.
+Test(read_spacing, relay_reads_without_delay)
+{
+    const int reads = readsWithinASecond(true);
+    cr_expect(reads >= 8, "%d reads", reads);
+}
