--- a/libs/gateway/endpoint_gate.cpp
+++ b/libs/gateway/endpoint_gate.cpp
@@ -15,6 +15,9 @@
 // Endpoints that cannot be reached are left alone for a short time, which grows with each failure.
 constexpr time_span firstBlock = std::chrono::milliseconds(50);
 constexpr time_span longestBlock = std::chrono::milliseconds(800);
+// A full endpoint frees a place each time a request ends. With many instances that wait for it, each has to ask rarely.
+constexpr time_span longestFullBlock = std::chrono::milliseconds(400);
+constexpr std::uint32_t mostDoublings = 4;
 constexpr double slownessWeight = 0.15;
 constexpr double outcomeWeight = 0.08;
 // An endpoint that fails everything still counts as ten times as slow only, so that its recovery is noticed.
@@ -112,6 +115,7 @@
 {
     --m_inFlight;
     m_failuresInRow = 0;
+    m_fullInRow = 0;
     m_blockedUntil = {};
     takeReport(reply, now);
     const bool failure = reply.response.status >= 500;
@@ -132,14 +136,12 @@
     --m_inFlight;
     takeReport(reply, now);
     countOutcome(true);
-    ++m_failuresInRow;
     if (reply.kind == reply_kind::not_run && reply.sent && !reply.misdirected) {
         // The endpoint is full, not lost.
-        m_blockedUntil = now + firstBlock;
+        m_blockedUntil = now + std::min(longestFullBlock, firstBlock * (1U << std::min(m_fullInRow++, mostDoublings)));
         return;
     }
-    const std::uint32_t doublings = std::min(m_failuresInRow - 1, 4U);
-    m_blockedUntil = now + std::min(longestBlock, firstBlock * (1U << doublings));
+    m_blockedUntil = now + std::min(longestBlock, firstBlock * (1U << std::min(m_failuresInRow++, mostDoublings)));
 }
 
 void endpoint_gate::aborted()
--- a/libs/gateway/endpoint_gate.h
+++ b/libs/gateway/endpoint_gate.h
@@ -70,6 +70,8 @@
     bool m_listed = true;
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_failuresInRow = 0;
+    /** Requests in a row that the endpoint refused because it was full. */
+    std::uint32_t m_fullInRow = 0;
     monotonic_time m_blockedUntil{};
     double m_slowness = 1;
     /** Share of the requests that the endpoint fails, as an average of the last ones. */
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -146,18 +146,21 @@
         }
         double rate = 0;
         bool room = false;
+        monotonic_time opensAt = monotonic_time::max();
         for (detail::gate_entry *gate : gatesOf(pool)) {
             if (!gate->gate.isListed() || (!subject.byKey && gate->gate.entry().draining)) {
                 continue;
             }
             room = room || (ahead == 0 && gate->gate.hasRoom(now));
+            opensAt = std::min(opensAt, gate->gate.blockedUntil());
             const time_span each = gate->gate.expectedTime(times.of(subject.route), now);
             rate += 1 / std::max(1.0, static_cast<double>(each.count()));
         }
         if (room || rate <= 0) {
             return time_span::zero();
         }
-        return time_span(static_cast<std::int64_t>((static_cast<double>(ahead) + 0.5) / rate));
+        const time_span untilOpen = opensAt == monotonic_time::max() ? time_span::zero() : std::max(time_span::zero(), opensAt - now);
+        return std::max(untilOpen, time_span(static_cast<std::int64_t>((static_cast<double>(ahead) + 0.5) / rate)));
     }
 
     void park(waiting_request &subject, const key_owner &owner, monotonic_time now)
--- a/libs/key_ownership/range_planner.cpp
+++ b/libs/key_ownership/range_planner.cpp
@@ -28,12 +28,14 @@
     , m_ranges(std::move(ranges))
     , m_settings(settings)
     , m_demand(m_endpoints.size())
+    , m_holdsKeys(m_endpoints.size())
 {
     const double total = m_load.demand({ 0, keyCount - 1 });
     m_assumedDemand = std::max(total * assumedShare, leastAssumedDemand) / keyCount;
     for (const planning_range &range : m_ranges) {
         if (range.owner) {
             m_demand[*range.owner] += rangeDemand(range.keys);
+            m_holdsKeys[*range.owner] = true;
         }
     }
 }
@@ -74,10 +76,16 @@
     return m_demand[endpoint] * m_load.meanWork() / key_load::averagingSeconds / (capacity(endpoint) * capacity(endpoint));
 }
 
-double range_planner::leastDifference(std::size_t donor, std::size_t taker) const
+bool range_planner::isWorthMove(std::size_t donor, std::size_t taker) const
 {
+    const double difference = utilization(donor) - utilization(taker);
+    if (!m_holdsKeys[taker]) {
+        // An endpoint that has just been added serves nobody until it is given keys.
+        return difference > 0;
+    }
     const double deviation = std::sqrt(utilizationVariance(donor) + utilizationVariance(taker));
-    return std::max({ m_settings.leastDifference, m_settings.leastShare * meanUtilization(0), m_settings.leastSignificance * deviation });
+    const double least = std::max({ m_settings.leastDifference, m_settings.leastShare * meanUtilization(0), m_settings.leastSignificance * deviation });
+    return utilization(donor) >= m_settings.idleUtilization && difference >= least;
 }
 
 std::size_t range_planner::leastUtilized(bool allowCold) const
@@ -141,13 +149,10 @@
                 donor = i;
             }
         }
-        if (!donor || *donor == taker || utilization(*donor) < m_settings.idleUtilization) {
+        if (!donor || *donor == taker || !isWorthMove(*donor, taker)) {
             break;
         }
         const double difference = utilization(*donor) - utilization(taker);
-        if (difference < leastDifference(*donor, taker)) {
-            break;
-        }
         // The demand that makes both equally utilized.
         const double wanted = difference / (1 / capacity(*donor) + 1 / capacity(taker));
         const std::optional<choice> part = choosePart(*donor, wanted);
@@ -158,6 +163,7 @@
         moves.push_back({ part->range, part->keys, taker });
         m_demand[*donor] -= part->demand;
         m_demand[taker] += part->demand;
+        m_holdsKeys[taker] = true;
         m_ranges[part->range].movable = false;
     }
     return moves;
--- a/libs/key_ownership/range_planner.h
+++ b/libs/key_ownership/range_planner.h
@@ -41,10 +41,10 @@
     /** The same, as a share of the mean utilization. */
     double leastShare = 0.25;
     /**
-     * The same, in standard deviations of what a few random requests make out. The least and the most utilized of some twenty
-     * equal endpoints are about 2.5 of them apart.
+     * The same, in standard deviations of the difference that comes from the random number of requests. Half as much would move
+     * keys on most plans of a calm day.
      */
-    double leastSignificance = 2.5;
+    double leastSignificance = 2;
 };
 
 /**
@@ -81,8 +81,7 @@
     std::size_t leastUtilized(bool allowCold) const;
     /** Variance of the utilization that comes from the small number of requests on which the demand rests. */
     double utilizationVariance(std::size_t endpoint) const;
-    /** Difference in utilization from which on keys are moved. */
-    double leastDifference(std::size_t donor, std::size_t taker) const;
+    bool isWorthMove(std::size_t donor, std::size_t taker) const;
     void shareOutRange(std::size_t index, std::vector<planned_move> &moves);
     std::optional<choice> choosePart(std::size_t donor, double wanted) const;
     choice bestPart(std::size_t index, double wanted) const;
@@ -96,6 +95,7 @@
     /** Assumed for every key, so that ranges are also divided evenly while nothing is known of their demand. */
     double m_assumedDemand = 0;
     std::vector<double> m_demand;
+    std::vector<bool> m_holdsKeys;
 };
 
 } // namespace sycamoretray
--- a/tests/unit/key_ownership/range_planner_test.cpp
+++ b/tests/unit/key_ownership/range_planner_test.cpp
@@ -185,3 +185,15 @@
     // Thirty seconds; without regard to the number of requests there are more than 100 moves.
     cr_expect_leq(moves, 10U);
 }
+
+// Load pattern: endpoints are added on a calm day, when nobody is busy. Each of them is given keys.
+Test(range_planner, added_endpoints_get_keys_although_nobody_is_busy)
+{
+    const key_load load = demandOf({ 0, keyCount - 1 }, 2);
+    std::vector<planning_range> ranges = evenRanges(8);
+    range_planner planner(load, std::vector<planning_endpoint>(10, { 2, 1, false }), ranges, {});
+    const auto moves = planner.balance(8);
+    cr_assert_eq(moves.size(), 2U);
+    cr_expect(std::min(moves[0].target, moves[1].target) == 8U);
+    cr_expect(std::max(moves[0].target, moves[1].target) == 9U);
+}
