--- a/libs/key_ownership/range_planner.h
+++ b/libs/key_ownership/range_planner.h
@@ -44,7 +44,7 @@
      * The same, in standard deviations of the difference that comes from the random number of requests. Half as much would move
      * keys on most plans of a calm day.
      */
-    double leastSignificance = 2;
+    double leastSignificance = 2.5;
 };
 
 /**
