Try endpoints that have not answered yet

Requests go where the expected time is least; endpoints known to be fast always beat one that counts as of usual speed because nothing is known of it.

Change: an endpoint without an answer so far counts as fast. The test fails without it.

--- a/libs/gateway/endpoint_gate.cpp
+++ b/libs/gateway/endpoint_gate.cpp
@@ -18,6 +18,8 @@
 // A full endpoint frees a place each time a request ends. With many instances that wait for it, each has to ask rarely.
 constexpr time_span longestFullBlock = std::chrono::milliseconds(400);
 constexpr std::uint32_t mostDoublings = 4;
+// An endpoint that has not answered yet counts as a fast one, so that it is tried beside endpoints that are known to be fast.
+constexpr double untriedSlowness = 0.4;
 constexpr double slownessWeight = 0.15;
 constexpr double outcomeWeight = 0.08;
 // An endpoint that fails everything still counts as ten times as slow only, so that its recovery is noticed.
@@ -94,7 +96,7 @@
 
 double endpoint_gate::slowness() const noexcept
 {
-    return m_slowness / (1 - m_failureShare * failureWeight);
+    return (m_answered ? m_slowness : untriedSlowness) / (1 - m_failureShare * failureWeight);
 }
 
 time_span endpoint_gate::expectedTime(time_span usual, monotonic_time now) const noexcept
@@ -116,6 +118,7 @@
     --m_inFlight;
     m_failuresInRow = 0;
     m_fullInRow = 0;
+    m_answered = true;
     m_blockedUntil = {};
     takeReport(reply, now);
     const bool failure = reply.response.status >= 500;
--- a/libs/gateway/endpoint_gate.h
+++ b/libs/gateway/endpoint_gate.h
@@ -73,6 +73,7 @@
     /** Requests in a row that the endpoint refused because it was full. */
     std::uint32_t m_fullInRow = 0;
     monotonic_time m_blockedUntil{};
+    bool m_answered = false;
     double m_slowness = 1;
     /** Share of the requests that the endpoint fails, as an average of the last ones. */
     double m_failureShare = 0;
--- a/tests/unit/gateway/gateway_load_test.cpp
+++ b/tests/unit/gateway/gateway_load_test.cpp
@@ -118,6 +118,15 @@
     cr_expect(result.inTarget > result.asked * 95 / 100, "%zu of %zu in time", result.inTarget, result.asked);
 }
 
+// Load pattern: an endpoint of usual speed beside a faster one that keeps up. It is tried all the same.
+Test(gateway_load, unknown_endpoint_is_tried_beside_a_faster_one)
+{
+    endpoint_emulator world(2, false);
+    world.endpoints[0].slowness = 0.5;
+    arrivals(world, 10, std::chrono::seconds(5), std::chrono::milliseconds(80));
+    cr_expect(std::count(world.sends().begin(), world.sends().end(), 1U) > 0);
+}
+
 // Load pattern: an endpoint fails half of its requests while it looks healthy.
 Test(gateway_load, failing_endpoint_costs_few_answers)
 {
