Allow requests whose connections were cut twice to be refused in the fault proxy test

Traced in the kept logs: 43 requests lost one connection to a server to the proxy, and one fingerprint lost two. Two lost connections are the documented limit from which on a request is refused, so the answer is right, and with cuts at random some runs must have such a request.

The check now compares: no other request may be told that it did not run, and no more requests refused as suspects than the logs show cut twice.

--- a/tests/integration/fault_proxy_test.py
+++ b/tests/integration/fault_proxy_test.py
@@ -1,16 +1,25 @@
 """20,000 requests from many connections to three instances, with faults on every connection in the system."""
+import pathlib
+import re
 import unittest
 
 from cluster import drum_cluster
 from integration_case import IntegrationCase
 
 SEED = 4711
+CRASH_SUSPECT = "116"
+COUNTED_CRASH = re.compile(r"event=crash_suspect .*fingerprint=(\d+) crashes=(\d+)")
 RATE = 2000
 
 
 class FaultProxyTest(IntegrationCase):
     proxy = True
 
+    def requests_cut_twice(self):
+        """Fingerprints of the requests that instances have seen end two connections to servers."""
+        text = "".join(path.read_text(errors="replace") for path in pathlib.Path(self.directory).glob("*.log"))
+        return {fingerprint for fingerprint, crashes in COUNTED_CRASH.findall(text) if int(crashes) >= 2}
+
     def test_every_caller_gets_its_own_whole_answer(self):
         """Guards against mixed-up, truncated or lost answers, runs without ownership and second runs when connections break."""
         print(f"seed {SEED}")
@@ -35,7 +44,10 @@
         print(summary["results"], summary["attempts"])
         self.assert_clean(summary)
         self.assertGreater(summary["requests"], 19000)
-        self.assertEqual(summary["results"]["not_run"], 0, summary["results"])
+        # A request whose connections to servers were cut twice counts as one that crashes servers, and is refused.
+        refused = summary["attempts"]["codes"].get(CRASH_SUSPECT, 0)
+        self.assertEqual(summary["results"]["not_run"], refused, summary["results"])
+        self.assertLessEqual(refused, len(self.requests_cut_twice()))
         self.assertGreater(summary["attempts"]["connections_lost"], 0, "the faults had no effect")
 
 
