Prefer registered endpoints after an instance was cut off

At 4 s an endpoint of the service that is not divided by key left and stayed up. The instance read the store again at 15.70 s and listed the endpoints at 15.77 s. The entry was missing from the listing, which after a failure of the source means "kept for 2.2 s in case it registers again", so that the instance sent to it until 17.9 s. It is bound again from 17 s on.

Ruled out: a relay's copy that was listed anew (suspected before). The relay had failed; the instance listed the store itself.

Change: requests that any endpoint can run go to registered endpoints, unless most entries of the service are missing, as after an outage of the store. A removal in that time counts as a change, so that the router hears of it.

Test: endpoint_directory.work_goes_to_registered_endpoints_after_a_cut.

--- a/libs/directory/endpoint_directory.cpp
+++ b/libs/directory/endpoint_directory.cpp
@@ -1,10 +1,21 @@
 #include "directory/endpoint_directory.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace sycamoretray
 {
 
+std::vector<listed_endpoint> usableForNewWork(const std::vector<listed_endpoint> &endpoints)
+{
+    std::vector<listed_endpoint> registered;
+    std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(registered), [](const listed_endpoint &each) {
+        return !each.missingUntil;
+    });
+    return registered.size() * 2 >= endpoints.size() ? registered : endpoints;
+}
+
 endpoint_directory::endpoint_directory(time_span returnGrace)
     : m_returnGrace(returnGrace)
 {
@@ -69,10 +80,11 @@
     const bool inGrace = m_sourceLost || (m_graceUntil && now < *m_graceUntil);
     // An endpoint that announced its leaving does not register again.
     if (inGrace && !known->second.entry.draining) {
-        if (!known->second.missingUntil) {
-            known->second.missingUntil = m_sourceLost ? monotonic_time::max() : *m_graceUntil;
+        if (known->second.missingUntil) {
+            return false;
         }
-        return false;
+        known->second.missingUntil = m_sourceLost ? monotonic_time::max() : *m_graceUntil;
+        return true;
     }
     m_endpoints.erase(known);
     return true;
--- a/libs/directory/endpoint_directory.h
+++ b/libs/directory/endpoint_directory.h
@@ -19,6 +19,14 @@
     std::optional<monotonic_time> missingUntil;
 };
 
+/**
+ * Endpoints of one service for requests that any of them can run. Entries that are missing are left out, unless they are most of
+ * them: an instance that was cut off cannot tell an endpoint that left meanwhile from one that registers again after an outage.
+ *
+ * Thread-safe.
+ */
+std::vector<listed_endpoint> usableForNewWork(const std::vector<listed_endpoint> &endpoints);
+
 /** An entry as a source delivers it; no value means that the entry was removed. */
 struct directory_record {
     endpoint_id id;
--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -59,13 +59,19 @@
     for (auto &[life, gate] : gates) {
         gate.gate.unlist();
     }
-    gatesOfService.clear();
+    std::map<service_id, std::vector<listed_endpoint>> services;
     for (const auto &[id, endpoint] : endpoints) {
         const endpoint_life &life = endpoint.entry.life;
         const auto [position, inserted] = gates.try_emplace(life, endpoint);
         position->second.gate.update(endpoint);
         position->second.stateSince = endpoint.stateSince;
-        gatesOfService[endpoint.entry.service].push_back(life);
+        services[endpoint.entry.service].push_back(endpoint);
+    }
+    gatesOfService.clear();
+    for (const auto &[service, members] : services) {
+        for (const listed_endpoint &endpoint : usableForNewWork(members)) {
+            gatesOfService[service].push_back(endpoint.entry.life);
+        }
     }
     forgetUnlisted();
 }
--- a/tests/unit/directory/endpoint_directory_test.cpp
+++ b/tests/unit/directory/endpoint_directory_test.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <string>
+
 using namespace sycamoretray;
 
 namespace
@@ -54,6 +57,40 @@
     cr_expect_not(directory.expire(start + std::chrono::seconds(20)));
 }
 
+// Guards against work for an endpoint that left while this instance was cut off. Its entry is missing from the first listing, as
+// that of an endpoint would be that registers again after an outage of the store.
+Test(endpoint_directory, work_goes_to_registered_endpoints_after_a_cut)
+{
+    endpoint_directory directory(grace);
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+        directory.apply(record(("e" + std::to_string(i)).c_str(), i), start);
+    }
+    directory.sourceLost();
+    directory.sourceReturned(start + std::chrono::seconds(12));
+    std::vector<directory_record> listing;
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        listing.push_back(record(("e" + std::to_string(i)).c_str(), i));
+    }
+    cr_expect(directory.applyListing(listing, log_offset(9), start + std::chrono::seconds(12)));
+    std::vector<listed_endpoint> known;
+    for (const auto &[id, endpoint] : directory.endpoints()) {
+        known.push_back(endpoint);
+    }
+    cr_expect_eq(known.size(), 5U);
+    const std::vector<listed_endpoint> usable = usableForNewWork(known);
+    cr_assert_eq(usable.size(), 4U);
+    cr_expect(std::none_of(usable.begin(), usable.end(), [](const listed_endpoint &each) {
+        return each.entry.life.endpoint == endpoint_id("e5");
+    }));
+    // Most entries lapse in an outage. Then all endpoints are used until they had time to register again.
+    directory.applyListing({ record("e1", 1) }, log_offset(9), start + std::chrono::seconds(12));
+    known.clear();
+    for (const auto &[id, endpoint] : directory.endpoints()) {
+        known.push_back(endpoint);
+    }
+    cr_expect_eq(usableForNewWork(known).size(), 5U);
+}
+
 // Guards against a late registration of a process that was already replaced.
 Test(endpoint_directory, older_lives_and_older_records_are_ignored)
 {
