Bound what endless messages take

Cause, found by a new test: the parser limited a head without end, but not a line without end in a chunked body (the length or the extensions of a chunk, or a trailer field). An endpoint or a caller that sends such bytes until the other side closes made the connection keep all of them, and parse them again with each piece. Bodies were limited one by one, 16 MB from an endpoint and 64 MB from a caller: ten of them at a time exceed the 160 MB of a small instance.

Change: what is left unparsed is limited whatever it belongs to. A budget of a quarter of the process's memory (new setting memory_mb, from the platform's limits) covers all requests and answers that are being received; a request beyond it is refused with body_too_large, an answer beyond it fails.

Tests: http_response_parser and http_request_parser, bytes_without_end_are_given_up: 11 and 6 streams.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -27,9 +27,10 @@
 constexpr time_span probeTimeout = std::chrono::milliseconds(500);
 constexpr time_span unusedTime = std::chrono::seconds(20);
 
-connection_pool_settings poolSettings()
+connection_pool_settings poolSettings(const std::shared_ptr<buffer_budget> &budget)
 {
     connection_pool_settings settings;
+    settings.budget = budget;
     settings.maxConnections = mostConnections;
     settings.spareConnections = 0;
     settings.idleTimeout = idleTimeout;
@@ -52,12 +53,14 @@
 } // namespace
 
 struct endpoint_connections::impl {
-    explicit impl(serial_executor givenExecutor)
+    impl(serial_executor givenExecutor, std::shared_ptr<buffer_budget> givenBudget)
         : executor(std::move(givenExecutor))
+        , budget(std::move(givenBudget))
     {
     }
 
     serial_executor executor;
+    std::shared_ptr<buffer_budget> budget;
     std::function<void(endpoint_attempt_id, endpoint_reply)> replied;
     std::map<network_address, endpoint_pool> pools;
     std::map<endpoint_attempt_id, open_attempt> attempts;
@@ -66,7 +69,7 @@
     {
         endpoint_pool &entry = pools[address];
         if (!entry.pool) {
-            entry.pool = std::make_unique<http_connection_pool>(executor, address, poolSettings());
+            entry.pool = std::make_unique<http_connection_pool>(executor, address, poolSettings(budget));
         }
         entry.used = steadyNow();
         return *entry.pool;
@@ -80,8 +83,8 @@
     }
 };
 
-endpoint_connections::endpoint_connections(serial_executor executor)
-    : d(std::make_unique<impl>(std::move(executor)))
+endpoint_connections::endpoint_connections(serial_executor executor, std::shared_ptr<buffer_budget> budget)
+    : d(std::make_unique<impl>(std::move(executor), std::move(budget)))
 {
 }
 
--- a/apps/sycamoretrayd/gateway/endpoint_connections.h
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.h
@@ -2,6 +2,7 @@
 
 #include "executor/serial_executor.h"
 #include "gateway/gateway.h"
+#include "http_message/buffer_budget.h"
 #include "key_ownership/assigner_actions.h"
 
 #include <functional>
@@ -21,7 +22,8 @@
 class endpoint_connections : public endpoint_port
 {
 public:
-    explicit endpoint_connections(serial_executor executor);
+    /** @param budget  limits what the answers of all endpoints take while they are received */
+    endpoint_connections(serial_executor executor, std::shared_ptr<buffer_budget> budget);
     ~endpoint_connections() override;
     endpoint_connections(const endpoint_connections &) = delete;
     endpoint_connections &operator=(const endpoint_connections &) = delete;
--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -47,16 +47,25 @@
 std::string newIncarnation(const instance_id &instance)
 {
     std::random_device device;
+// Part of the memory for messages that are being received; answers to callers and what is known of the site take the rest.
+constexpr std::uint64_t bufferedPart = 4;
     return instance.value() + "#" + std::to_string(device());
 }
 
-http_server_settings callerServerSettings(const gateway_daemon_settings &settings)
+std::shared_ptr<buffer_budget> messageBudget(const gateway_daemon_settings &settings)
+{
+    constexpr std::uint64_t megabyte = 1024UL * 1024;
+    return std::make_shared<buffer_budget>(settings.memoryMb * megabyte / bufferedPart);
+}
+
+http_server_settings callerServerSettings(const gateway_daemon_settings &settings, const std::shared_ptr<buffer_budget> &budget)
 {
     http_server_settings result;
     result.address = settings.callerAddress;
     result.maxConnections = std::max(otherDescriptors, settings.descriptors) - otherDescriptors + 1;
     constexpr std::uint64_t bodyBytes = 64ULL * 1024 * 1024;
     result.limits.bodyBytes = bodyBytes;
+    result.budget = budget;
     return result;
 }
 
@@ -96,6 +105,7 @@
     topic_relay relay;
     relayed_store topics;
     endpoint_connections endpoints;
+    std::shared_ptr<buffer_budget> budget;
     gateway router;
     store_feeds feeds;
     assigner_stop_client stopClient;
@@ -153,12 +163,13 @@
              [this] {
                  return ownership.storeAnswers();
              })
-    , endpoints(executor)
+    , endpoints(executor, budget)
     , router(gatewaySettings(settings),
              endpoints,
              [](std::string_view event, const auto &fields) {
                  logEvent(event, fields);
              })
+    , budget(messageBudget(settings))
     , feeds(topics, relay, executor, feedObserver())
     , stopClient(executor)
     , ownership(executor,
@@ -189,7 +200,7 @@
                      return relay.handle(request, slot);
                  } })
     , callerServer(context,
-                   callerServerSettings(settings),
+                   callerServerSettings(settings, budget),
                    [this](http_request request, std::shared_ptr<answer_slot> slot) {
                        executor.dispatch([this, request = std::move(request), slot = std::move(slot)]() mutable {
                            receive(std::move(request), std::move(slot));
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -15,10 +15,35 @@
     : m_socket(strand)
     , m_pool(&pool)
     , m_parser(settings.limits)
+    , m_budget(settings.budget)
     , m_silenceLimit(settings.silenceLimit)
 {
 }
 
+client_connection::~client_connection()
+{
+    releaseHeld();
+}
+
+bool client_connection::hold(std::size_t size)
+{
+    if (!m_budget) {
+        return true;
+    }
+    if (!m_budget->take(size)) {
+        return false;
+    }
+    m_held += size;
+    return true;
+}
+
+void client_connection::releaseHeld()
+{
+    if (m_budget) {
+        m_budget->giveBack(std::exchange(m_held, 0));
+    }
+}
+
 void client_connection::setOptions()
 {
     boost::system::error_code ignored;
@@ -121,6 +146,10 @@
         m_pool->closedIdle(*this);
         return;
     }
+    if (!hold(size)) {
+        fail(result_code::body_too_large);
+        return;
+    }
     parseReceived({ m_input.data(), size });
     if (!m_closed) {
         readMore();
@@ -191,6 +220,7 @@
 {
     const auto self = shared_from_this();
     m_busy = false;
+    releaseHeld();
     if (!reusable) {
         close();
     }
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -4,6 +4,7 @@
 #include "base/monotonic_time.h"
 #include "base/result_code.h"
 #include "executor/serial_executor.h"
+#include "http_message/buffer_budget.h"
 #include "http_message/http_parser.h"
 
 #include <cstdint>
@@ -24,6 +25,8 @@
     /** A connection whose peer does not acknowledge data or keep-alive probes for about this time is closed; 0 leaves it to the system. */
     time_span silenceLimit{};
     http_limits limits;
+    /** Shared by the pools of a process; none leaves the sum of all responses unlimited. */
+    std::shared_ptr<buffer_budget> budget;
 };
 
 /** Result of one request. */
--- a/libs/http_entry/detail/http_session.h
+++ b/libs/http_entry/detail/http_session.h
@@ -88,6 +88,10 @@
     void linger();
     void closeOnStrand();
     void updateDeadline();
+    /** Counts received bytes; false if the budget of the process is exceeded. */
+    bool hold(std::size_t size);
+    /** Gives back what was received, once all requests have been answered. */
+    void releaseHeld();
 
     static constexpr monotonic_time noDeadline = monotonic_time::max();
 
@@ -113,6 +117,8 @@
     monotonic_time m_requestDeadline = noDeadline;
     monotonic_time m_writeDeadline = noDeadline;
     bool m_lingering = false;
+    /** Bytes of the budget that this connection has taken. */
+    std::uint64_t m_held = 0;
 };
 
 } // namespace sycamoretray::detail
--- a/libs/http_entry/http_server.h
+++ b/libs/http_entry/http_server.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "http_message/buffer_budget.h"
 #include "http_message/http_parser.h"
 
 #include <atomic>
@@ -21,6 +22,8 @@
 struct http_server_settings {
     network_address address;
     http_limits limits;
+    /** Shared with others of the process, all used by one thread; none leaves the sum of all requests unlimited. */
+    std::shared_ptr<buffer_budget> budget;
     std::uint32_t maxConnections = 4096;
     /** Requests of one connection that may wait for their answers at the same time. */
     std::uint32_t pipelinedRequests = 32;
--- a/libs/http_message/http_parser.cpp
+++ b/libs/http_message/http_parser.cpp
@@ -172,7 +172,8 @@
         } else if (parser->is_done()) {
             parser->message.keepAlive = parser->keep_alive();
             state = http_parse_state::complete;
-        } else if (!parser->is_header_done() && data.size() - used > limits.headerBytes) {
+        } else if (data.size() - used > limits.headerBytes) {
+            // A body is used as it arrives: what is left is a line without end, of the header or of a chunk.
             fail(http::error::header_limit);
         }
         return used;
--- a/libs/settings/gateway_daemon_settings.cpp
+++ b/libs/settings/gateway_daemon_settings.cpp
@@ -52,6 +52,8 @@
     constexpr double leastShare = 0.001;
     constexpr double mostShare = 1024;
     settings.processorShare = reader.realNumber("processor_share", settings.processorShare, leastShare, mostShare);
+    constexpr std::uint64_t leastMemoryMb = 64;
+    settings.memoryMb = static_cast<std::uint32_t>(reader.unsignedNumber("memory_mb", settings.memoryMb, leastMemoryMb));
     constexpr std::uint64_t fewestDescriptors = 512;
     settings.descriptors = static_cast<std::uint32_t>(reader.unsignedNumber("descriptors", settings.descriptors, fewestDescriptors));
     settings.memberTimeToLive = readSeconds(reader, "member_ttl_s", settings.memberTimeToLive);
@@ -92,6 +94,7 @@
         { "store_address", settings.storeAddress.value() },
         { "processor_share", settings.processorShare },
         { "descriptors", settings.descriptors },
+        { "memory_mb", settings.memoryMb },
         { "member_ttl_s", inSeconds(settings.memberTimeToLive) },
         { "longest_grant_s", inSeconds(settings.longestGrant) },
         { "drain_limit_s", inSeconds(settings.drainLimit) },
--- a/libs/settings/gateway_daemon_settings.h
+++ b/libs/settings/gateway_daemon_settings.h
@@ -22,6 +22,8 @@
     double processorShare = 1;
     /** File descriptors that the process may have. */
     std::uint32_t descriptors = 4096;
+    /** Memory that the process may use, in megabytes. */
+    std::uint32_t memoryMb = 512;
     /** Silence after which the store takes a member of a group for lost; at least what the store accepts. */
     time_span memberTimeToLive = std::chrono::milliseconds(1000);
     /** Longest time for which an endpoint accepts keys. */
--- a/tests/unit/http_message/http_parser_test.cpp
+++ b/tests/unit/http_message/http_parser_test.cpp
@@ -3,6 +3,9 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
+#include <utility>
+
 #include <algorithm>
 #include <random>
 #include <string>
@@ -162,3 +165,81 @@
     const http_fields expected{ { "Accept", "*/*" } };
     cr_expect(fields == expected);
 }
+
+namespace
+{
+
+/**
+ * Feeds @p start and then @p piece again and again, as a connection does that keeps what is not parsed yet. Returns the bytes that
+ * had to be kept when the parser gave up, or nothing if it did not within @p most bytes.
+ */
+template<class Parser>
+std::optional<std::size_t> keptUntilFailure(Parser &parser, std::string start, const std::string &piece, std::size_t most)
+{
+    std::string unparsed = std::move(start);
+    for (std::size_t total = 0; total < most; total += piece.size()) {
+        while (!unparsed.empty() && parser.state() == http_parse_state::need_more) {
+            const std::size_t used = parser.feed(unparsed);
+            unparsed.erase(0, used);
+            if (used == 0) {
+                break;
+            }
+        }
+        if (parser.state() == http_parse_state::failed) {
+            return unparsed.size();
+        }
+        unparsed += piece;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Bytes without end, as from an endpoint in trouble: in a head, in a field, between the parts of a chunked body, behind it, and in the
+// body itself. The parser gives up before it has kept more than its limits.
+Test(http_response_parser, bytes_without_end_are_given_up)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> streams{
+        { "", std::string(1000, 'x') },
+        { "HTTP/1.1 200 OK\r\nField: ", std::string(1000, 'v') },
+        { "HTTP/1.1 200 OK\r\n", "Field: value\r\n" },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "", "\r\n" },
+        { chunked + "5", std::string(1000, '0') },
+        { chunked + "5;ext=", std::string(1000, 'e') },
+        { chunked + "0\r\n", "Trailer: value\r\n" },
+        { chunked + "0\r\nTrailer: ", std::string(1000, 't') },
+        { chunked, "400\r\n" + std::string(1024, 'b') + "\r\n" },
+        { "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'b') },
+    };
+    http_limits limits{ 4096, 64UL * 1024, 50 };
+    limits.bodyMayEndWithConnection = true;
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        http_response_parser parser(limits);
+        const auto kept = keptUntilFailure(parser, streams[i].first, streams[i].second, 1024UL * 1024);
+        cr_assert(kept.has_value(), "stream %zu goes on", i);
+        cr_expect(*kept <= limits.headerBytes + 2048, "stream %zu: %zu bytes kept", i, *kept);
+    }
+}
+
+// The same from a caller.
+Test(http_request_parser, bytes_without_end_are_given_up)
+{
+    const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> streams{
+        { "", std::string(1000, 'x') },
+        { "GET /", std::string(1000, 'p') },
+        { "GET / HTTP/1.1\r\n", "Field: value\r\n" },
+        { chunked + "5;ext=", std::string(1000, 'e') },
+        { chunked + "0\r\n", "Trailer: value\r\n" },
+        { chunked, "400\r\n" + std::string(1024, 'b') + "\r\n" },
+    };
+    const http_limits limits{ 4096, 64UL * 1024, 50 };
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        http_request_parser parser(limits);
+        const auto kept = keptUntilFailure(parser, streams[i].first, streams[i].second, 1024UL * 1024);
+        cr_assert(kept.has_value(), "stream %zu goes on", i);
+        cr_expect(*kept <= limits.headerBytes + 2048, "stream %zu: %zu bytes kept", i, *kept);
+    }
+}
