--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -6,13 +6,17 @@
 #include "http_entry/http_server.h"
 #include "observability/event_log.h"
 #include "observability/metrics.h"
+#include "permits/instance_census.h"
 #include "platform/request_codec.h"
 #include "platform/store_client.h"
+#include "platform/topics.h"
 #include "sycamoretrayd/daemon_signals.h"
 #include "sycamoretrayd/gateway/endpoint_connections.h"
 #include "sycamoretrayd/gateway/internal_api.h"
 #include "sycamoretrayd/gateway/load_report_channel.h"
 #include "sycamoretrayd/gateway/ownership_runner.h"
+#include "sycamoretrayd/gateway/permit_service.h"
+#include "sycamoretrayd/gateway/relay_record.h"
 #include "sycamoretrayd/gateway/relayed_store.h"
 #include "sycamoretrayd/gateway/store_feeds.h"
 #include "sycamoretrayd/gateway/topic_relay.h"
@@ -43,15 +47,26 @@
 constexpr time_span flushTime = std::chrono::milliseconds(250);
 constexpr time_span stopReserve = std::chrono::milliseconds(500);
 constexpr std::uint32_t stopPollMilliseconds = 50;
+// An instance that is no candidate for a relay reads the whole store itself if its zone has no relay after this time.
+constexpr std::uint32_t aloneMilliseconds = 1000;
+// Part of the memory for messages that are being received; answers to callers and what is known of the site take the rest.
+constexpr std::uint64_t bufferedPart = 4;
+constexpr std::uint32_t storeCallsMilliseconds = 5000;
+// From this number of instances on, relays read from one another.
+constexpr std::size_t instancesOfLargeSite = 16;
 
 std::string newIncarnation(const instance_id &instance)
 {
     std::random_device device;
-// Part of the memory for messages that are being received; answers to callers and what is known of the site take the rest.
-constexpr std::uint64_t bufferedPart = 4;
     return instance.value() + "#" + std::to_string(device());
 }
 
+std::uint64_t randomFirstPermit()
+{
+    constexpr unsigned half = 32;
+    return static_cast<std::uint64_t>(std::random_device()()) << half;
+}
+
 std::shared_ptr<buffer_budget> messageBudget(const gateway_daemon_settings &settings)
 {
     constexpr std::uint64_t megabyte = 1024UL * 1024;
@@ -61,11 +76,11 @@
 http_server_settings callerServerSettings(const gateway_daemon_settings &settings, const std::shared_ptr<buffer_budget> &budget)
 {
     http_server_settings result;
+    result.budget = budget;
     result.address = settings.callerAddress;
     result.maxConnections = std::max(otherDescriptors, settings.descriptors) - otherDescriptors + 1;
     constexpr std::uint64_t bodyBytes = 64ULL * 1024 * 1024;
     result.limits.bodyBytes = bodyBytes;
-    result.budget = budget;
     return result;
 }
 
@@ -83,9 +98,10 @@
     gateway_settings result;
     result.instance = settings.instance;
     result.zone = settings.zone;
+    result.firstPermit = randomFirstPermit();
     result.retries = { settings.retryShare, settings.retrySlack, settings.retryWindow };
-    // Leaves time for the notice to arrive and for requests that are on their way.
-    result.drainTime = settings.drainLimit * 6 / 10;
+    // A notice takes up to 2 s to arrive if relays are lost, and the time counts from its arrival.
+    result.drainTime = settings.drainLimit / 4;
     return result;
 }
 
@@ -100,17 +116,21 @@
     serial_executor executor{ context };
     boost::asio::steady_timer gatewayTimer{ executor.state().strand };
     monotonic_time gatewayTimerAt = monotonic_time::max();
+    std::shared_ptr<buffer_budget> budget;
     metrics_registry metrics;
     platform::store_client store;
     topic_relay relay;
     relayed_store topics;
     endpoint_connections endpoints;
-    std::shared_ptr<buffer_budget> budget;
     gateway router;
     store_feeds feeds;
     assigner_stop_client stopClient;
     ownership_runner ownership;
+    datagram_channel datagrams;
     load_report_channel reports;
+    permit_service permits;
+    instance_census census;
+    bool countsInstances = false;
     internal_api internal;
     http_server callerServer;
     http_server readinessServer;
@@ -120,6 +140,8 @@
     monotonic_time stopStarted{};
     bool everReady = false;
     monotonic_time storeAnsweredAt{};
+    /** Calls of the store since the last line about them, by kind and subject. */
+    std::map<std::string, std::uint64_t> storeCalls;
 
     int run();
     void startTimers();
@@ -136,11 +158,16 @@
     bool isReady();
     void storeAnswered();
     void chooseRelay();
+    std::optional<network_address> headRelay() const;
     void upkeep();
     void reportLoad();
+    void logStoreCalls();
     std::string dump();
     ownership_environment ownershipEnvironment();
     feed_observer feedObserver();
+    permit_observer permitObserver();
+    std::optional<availability_zone> zoneOf(const endpoint_life &life) const;
+    void publishInstances();
 
     // --- stop ---
 
@@ -153,10 +180,12 @@
 gateway_daemon::impl::impl(gateway_daemon_settings givenSettings, std::string givenSettingsFile)
     : settings(std::move(givenSettings))
     , settingsFile(std::move(givenSettingsFile))
+    , budget(messageBudget(settings))
     , store(executor, settings.storeAddress)
     , relay(executor,
-            [this] {
-                return ownership.isRelay();
+            [this](bool toRelay) {
+                // Two relays that read from each other would both miss what is new.
+                return ownership.isRelay(toRelay) && !(toRelay && topics.readsFromRelay());
             })
     , topics(store,
              executor,
@@ -169,7 +198,6 @@
              [](std::string_view event, const auto &fields) {
                  logEvent(event, fields);
              })
-    , budget(messageBudget(settings))
     , feeds(topics, relay, executor, feedObserver())
     , stopClient(executor)
     , ownership(executor,
@@ -181,11 +209,19 @@
                   settings.longestGrant,
                   settings.processorShare },
                 ownershipEnvironment())
-    , reports(context,
-              settings.internalAddress,
+    , datagrams(context, settings.internalAddress)
+    , reports(datagrams,
               [this](const load_report &report) {
                   ownership.addLoad(report);
               })
+    , permits(
+          executor,
+          datagrams,
+          settings.internalAddress,
+          [this](const endpoint_life &life) {
+              return zoneOf(life);
+          },
+          permitObserver())
     , internal(context,
                executor,
                settings.internalAddress,
@@ -230,6 +266,22 @@
         router.replied(attempt, std::move(reply), steadyNow());
         touched();
     });
+    store.onCall([this](std::string_view kind, const std::string &subject) {
+        metrics.counter("sycamoretray_store_calls_total{call=\"" + std::string(kind) + "\",subject=\"" + subject + "\"}").add();
+        ++storeCalls[std::string(kind) + ":" + subject];
+    });
+    router.setPermits(permits.source());
+    topics.setRelayTopic(platform::ownershipTopic);
+    topics.setReader(settings.internalAddress, settings.processorShare);
+    relay.onReader([this](const network_address &reader, double weight) {
+        census.seen(reader, weight, steadyNow());
+    });
+    metrics.gauge("sycamoretray_permits_waiting", [this] {
+        return static_cast<double>(permits.waiting());
+    });
+    metrics.gauge("sycamoretray_permits_in_use", [this] {
+        return static_cast<double>(permits.inUse());
+    });
     metrics.gauge("sycamoretray_requests_unfinished", [this] {
         return static_cast<double>(router.unfinished());
     });
@@ -255,6 +307,7 @@
 {
     feed_observer observer;
     observer.endpointsChanged = [this] {
+        permits.setEndpoints(feeds.directory().endpoints());
         router.setEndpoints(feeds.directory().endpoints(), steadyNow());
         ownership.directoryChanged();
         touched();
@@ -266,13 +319,45 @@
     observer.relaysChanged = [this] {
         chooseRelay();
     };
+    observer.instancesChanged = [this] {
+        permits.setCandidates(feeds.instances());
+        router.setInstances(static_cast<std::uint32_t>(candidateCount(feeds.instances())));
+    };
     observer.ownershipChanged = [this] {
         router.setOwnership(feeds.ownership(), steadyNow());
+        chooseRelay();
         touched();
     };
     return observer;
 }
 
+permit_observer gateway_daemon::impl::permitObserver()
+{
+    permit_observer observer;
+    observer.granted = [this](permit_id permit, const endpoint_id &endpoint, std::uint64_t startedAtMs, monotonic_time now) {
+        metrics.counter("sycamoretray_permits_granted_total").add();
+        router.permitGranted(permit, endpoint, startedAtMs, now);
+        touched();
+    };
+    observer.refused = [this](permit_id permit, time_span retryAfter, monotonic_time now) {
+        metrics.counter("sycamoretray_permits_refused_total").add();
+        router.permitRefused(permit, retryAfter, now);
+        touched();
+    };
+    observer.unavailable = [this](permit_id permit, monotonic_time now) {
+        metrics.counter("sycamoretray_permits_unavailable_total").add();
+        router.permitUnavailable(permit, now);
+        touched();
+    };
+    return observer;
+}
+
+std::optional<availability_zone> gateway_daemon::impl::zoneOf(const endpoint_life &life) const
+{
+    const auto found = feeds.directory().endpoints().find(life.endpoint);
+    return found == feeds.directory().endpoints().end() ? std::nullopt : std::optional(found->second.entry.zone);
+}
+
 // --- callers ---
 
 void gateway_daemon::impl::receive(http_request request, std::shared_ptr<answer_slot> slot)
@@ -348,11 +433,39 @@
 void gateway_daemon::impl::chooseRelay()
 {
     const auto found = feeds.relays().find(settings.zone);
-    const bool own = ownership.leadsZone() || found == feeds.relays().end() || found->second == settings.internalAddress;
+    if (found != feeds.relays().end()) {
+        feeds.startAll();
+    }
     topics.setReadsForOthers(ownership.leadsZone());
+    if (ownership.leadsZone()) {
+        topics.setRelay(headRelay());
+        return;
+    }
+    const bool own = found == feeds.relays().end() || found->second == settings.internalAddress;
     topics.setRelay(own ? std::nullopt : std::optional(found->second));
 }
 
+/**
+ * The relays of the other zones read from the assigner, which is the relay of its zone and writes most of the records. With few
+ * instances that would save few calls of the store.
+ */
+std::optional<network_address> gateway_daemon::impl::headRelay() const
+{
+    if (candidateCount(feeds.instances()) < instancesOfLargeSite) {
+        return std::nullopt;
+    }
+    const ownership_record *newest = nullptr;
+    for (const auto &[service, record] : feeds.ownership().records()) {
+        if (!record.resigned && (newest == nullptr || record.epoch > newest->epoch)) {
+            newest = &record;
+        }
+    }
+    if (newest == nullptr || newest->assigner == settings.internalAddress || ownership.leads()) {
+        return std::nullopt;
+    }
+    return newest->assigner;
+}
+
 bool gateway_daemon::impl::isReady()
 {
     const bool ready = !stopping && feeds.isComplete() && !feeds.directory().endpoints().empty();
@@ -362,10 +475,33 @@
     return ready;
 }
 
+/** The relay of a zone lists the instances that read from it. */
+void gateway_daemon::impl::publishInstances()
+{
+    const monotonic_time now = steadyNow();
+    const auto known = feeds.instances().find(settings.zone);
+    const std::vector<keeper_candidate> published = known == feeds.instances().end() ? std::vector<keeper_candidate>() : known->second;
+    const bool counts = !stopping && ownership.isRelay(false) && feeds.isComplete();
+    if (counts && !std::exchange(countsInstances, true)) {
+        census.start(published, now);
+    }
+    countsInstances = counts;
+    if (!counts) {
+        return;
+    }
+    census.seen(settings.internalAddress, settings.processorShare, now);
+    if (const auto list = census.takeDue(published, now)) {
+        logEvent("instances_published", { { "zone", settings.zone.value() }, { "instances", std::to_string(list->size()) } });
+        // An append that fails is repeated, because the record that is read back still differs.
+        store.append(platform::ownershipTopic, { { instancesKey(settings.zone), encodeCandidates(*list) } }, std::nullopt, [](const append_reply &) {});
+    }
+}
+
 void gateway_daemon::impl::upkeep()
 {
     const monotonic_time now = steadyNow();
     feeds.expire(now);
+    publishInstances();
     endpoints.closeUnused(now);
     const auto &listed = feeds.directory().endpoints();
     const bool anyDraining = std::any_of(listed.begin(), listed.end(), [](const auto &item) {
@@ -390,6 +526,18 @@
     }
 }
 
+void gateway_daemon::impl::logStoreCalls()
+{
+    if (storeCalls.empty()) {
+        return;
+    }
+    std::vector<std::pair<std::string, std::string>> fields{ { "relay", ownership.leadsZone() ? "true" : "false" } };
+    for (const auto &[call, count] : std::exchange(storeCalls, {})) {
+        fields.emplace_back(call, std::to_string(count));
+    }
+    logEvent("store_calls", fields);
+}
+
 std::string gateway_daemon::impl::dump()
 {
     return "{\"gateway\":" + router.dump(steadyNow()) + ",\"ownership\":" + ownership.dump() + "}";
@@ -403,6 +551,14 @@
         upkeep();
         return !finished;
     });
+    executor.repeat(aloneMilliseconds, [this] {
+        feeds.startAll();
+        return false;
+    });
+    executor.repeat(storeCallsMilliseconds, [this] {
+        logStoreCalls();
+        return !finished;
+    });
     executor.repeat(reportMilliseconds, [this] {
         reportLoad();
         return !finished;
@@ -415,7 +571,7 @@
         { "caller_address", callerServer.start() },
         { "readiness_address", readinessServer.start() },
         { "internal_address", internal.start() },
-        { "internal_address", reports.start() },
+        { "internal_address", datagrams.start() },
     };
     for (const auto &[name, error] : servers) {
         if (error) {
@@ -425,6 +581,9 @@
     }
     logEvent("instance_started", { { "instance", settings.instance.value() }, { "zone", settings.zone.value() }, { "store", settings.storeAddress.value() } });
     feeds.start();
+    if (isRelayCandidate(settings.processorShare)) {
+        feeds.startAll();
+    }
     ownership.start();
     startTimers();
     context.run();
@@ -451,6 +610,8 @@
     stopStarted = steadyNow();
     logEvent("instance_stopping", { { "unfinished", std::to_string(router.unfinished()) } });
     ownership.leave();
+    permits.resign();
+    topics.setReader(settings.internalAddress, 0);
     executor.repeat(stopPollMilliseconds, [this] {
         return continueStop();
     });
--- a/apps/sycamoretrayd/gateway/load_report_channel.cpp
+++ b/apps/sycamoretrayd/gateway/load_report_channel.cpp
@@ -1,11 +1,7 @@
 #include "sycamoretrayd/gateway/load_report_channel.h"
 
-#include "http_client/detail/endpoint_address.h"
 #include "observability/event_log.h"
 
-#include <boost/asio/ip/udp.hpp>
-
-#include <array>
 #include <utility>
 #include <vector>
 
@@ -15,12 +11,9 @@
 namespace
 {
 
-using boost::asio::ip::udp;
-
 // Keeps a datagram below the size that networks carry in one piece: a key takes up to 8 bytes, an endpoint up to 40.
 constexpr std::size_t keysPerDatagram = 100;
 constexpr std::size_t endpointsPerDatagram = 12;
-constexpr std::size_t largestDatagram = 65536;
 
 std::vector<load_report> inParts(load_report report)
 {
@@ -40,88 +33,24 @@
     return parts;
 }
 
-std::optional<udp::endpoint> udpEndpoint(const network_address &address)
-{
-    boost::asio::ip::tcp::endpoint parsed;
-    if (!detail::parseAddress(address, parsed)) {
-        return std::nullopt;
-    }
-    return udp::endpoint(parsed.address(), parsed.port());
-}
-
 } // namespace
 
-struct load_report_channel::impl {
-    impl(boost::asio::io_context &context, network_address givenAddress, std::function<void(const load_report &)> givenReceived)
-        : socket(context)
-        , address(std::move(givenAddress))
-        , received(std::move(givenReceived))
-    {
-    }
-
-    udp::socket socket;
-    network_address address;
-    std::function<void(const load_report &)> received;
-    std::array<char, largestDatagram> input{};
-    udp::endpoint sender;
-
-    void receive()
-    {
-        socket.async_receive_from(boost::asio::buffer(input), sender, [this](const boost::system::error_code &error, std::size_t size) {
-            if (error == boost::asio::error::operation_aborted) {
-                return;
-            }
-            // Other errors report that an earlier datagram of ours met no receiver.
-            if (!error) {
-                if (const auto report = decodeLoadReport({ input.data(), size })) {
-                    received(*report);
-                } else {
-                    logEvent(event_severity::warning, "load_report_unreadable", { { "bytes", std::to_string(size) } });
-                }
-            }
-            receive();
-        });
-    }
-};
-
-load_report_channel::load_report_channel(boost::asio::io_context &context, const network_address &address, std::function<void(const load_report &)> received)
-    : d(std::make_unique<impl>(context, address, std::move(received)))
+load_report_channel::load_report_channel(datagram_channel &datagrams, std::function<void(const load_report &)> received)
+    : m_datagrams(datagrams)
 {
-}
-
-load_report_channel::~load_report_channel() = default;
-
-std::error_code load_report_channel::start()
-{
-    const auto endpoint = udpEndpoint(d->address);
-    if (!endpoint) {
-        return std::make_error_code(std::errc::invalid_argument);
-    }
-    boost::system::error_code error;
-    d->socket.open(endpoint->protocol(), error);
-    if (!error) {
-        d->socket.bind(*endpoint, error);
-    }
-    if (!error) {
-        d->socket.non_blocking(true, error);
-        d->receive();
-    }
-    return error;
+    datagrams.onReceived(datagram_kind::load_report, [received = std::move(received)](const network_address &from, std::string_view content) {
+        if (const auto report = decodeLoadReport(content)) {
+            received(*report);
+        } else {
+            logEvent(event_severity::warning, "load_report_unreadable", { { "from", from.value() }, { "bytes", std::to_string(content.size()) } });
+        }
+    });
 }
 
 void load_report_channel::send(const network_address &assigner, load_report report)
 {
-    const auto endpoint = udpEndpoint(assigner);
-    if (!endpoint) {
-        return;
-    }
     for (const load_report &part : inParts(std::move(report))) {
-        const std::string data = encodeLoadReport(part);
-        boost::system::error_code error;
-        d->socket.send_to(boost::asio::buffer(data), *endpoint, 0, error);
-        if (error) {
-            logEvent(event_severity::warning, "load_report_not_sent", { { "assigner", assigner.value() }, { "error", error.message() } });
-        }
+        m_datagrams.send(assigner, datagram_kind::load_report, encodeLoadReport(part));
     }
 }
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -22,14 +22,16 @@
 namespace
 {
 
-// A relay of a large zone, and an assigner of hundreds of endpoints, need more than a tenth of a core.
-constexpr double candidateShare = 0.2;
 // Smaller instances take part only if their zone has had no relay for this time.
 constexpr time_span reserveDelay = std::chrono::milliseconds(2500);
 // A relay that is lost is replaced by reads of the store itself, so its zone need not notice at once.
 constexpr int zoneTimeToLiveFactor = 2;
-// Silence of the store, in times of its usual answers, after which a relay may be out of date.
+// Silence of the store after which a relay may be out of date.
 constexpr time_span storeSilence = std::chrono::milliseconds(1600);
+// The same for what it passes on to other relays, whose readers add their own delay: two memberships are confirmed each 0.3 s.
+constexpr time_span storeSilenceForRelays = std::chrono::milliseconds(800);
+// The store deals the relay anew while the first members join a group, within some 0.1 s when a site starts.
+constexpr time_span settledGroup = std::chrono::milliseconds(400);
 constexpr std::uint32_t tickMilliseconds = 40;
 constexpr time_span appendRetryInterval = std::chrono::milliseconds(100);
 constexpr time_span stopQuestionInterval = std::chrono::milliseconds(300);
@@ -98,6 +100,11 @@
         if (!zoneGroup && isNeeded(now)) {
             joinZone();
         }
+        if (zoneGroup && !zoneGroup->leads() && !assignerGroup && !isNeeded(now)) {
+            logEvent("reserve_dismissed", { { "zone", settings.zone.value() } });
+            zoneGroup->leave();
+            zoneGroup.reset();
+        }
         if (leadership.phase() == leadership_phase::claiming) {
             finishClaim();
         }
@@ -110,7 +117,7 @@
     bool isNeeded(monotonic_time now) const
     {
         const bool relayKnown = environment.feeds.relays().contains(settings.zone);
-        return settings.processorShare >= candidateShare || (!relayKnown && now - started > reserveDelay) || environment.relayFailing() > reserveDelay;
+        return isRelayCandidate(settings.processorShare) || (!relayKnown && now - started > reserveDelay) || environment.relayFailing() > reserveDelay;
     }
 
     void joinZone()
@@ -156,7 +163,10 @@
     {
         const auto known = environment.feeds.relays().find(settings.zone);
         const bool announced = known != environment.feeds.relays().end() && known->second == settings.internalAddress;
-        if (!zoneGroup->leads() || announced || announcing || !environment.feeds.isComplete()) {
+        if (steadyNow() - started < settledGroup) {
+            return;
+        }
+        if (!zoneGroup->leads() || announced || announcing || !environment.feeds.isListed()) {
             return;
         }
         announcing = true;
@@ -171,9 +181,10 @@
                                  });
     }
 
-    bool isRelay() const
+    bool isRelay(bool toRelay) const
     {
-        return zoneGroup->leads() && steadyNow() - zoneGroup->lastAnswer() < storeSilence && !environment.feeds.isLost();
+        const monotonic_time answered = assignerGroup ? std::max(zoneGroup->lastAnswer(), assignerGroup->lastAnswer()) : zoneGroup->lastAnswer();
+        return zoneGroup->leads() && steadyNow() - answered < (toRelay ? storeSilenceForRelays : storeSilence) && !environment.feeds.isLost();
     }
 
     // --- leadership ---
@@ -475,6 +486,13 @@
     }
 };
 
+bool isRelayCandidate(double processorShare) noexcept
+{
+    // A relay of a large zone, and an assigner of hundreds of endpoints, need more than a tenth of a core.
+    constexpr double candidateShare = 0.2;
+    return processorShare >= candidateShare;
+}
+
 ownership_runner::ownership_runner(serial_executor executor, ownership_runner_settings settings, ownership_environment environment)
     : d(std::make_shared<impl>(std::move(executor), std::move(settings), std::move(environment)))
 {
@@ -528,9 +546,14 @@
     return true;
 }
 
-bool ownership_runner::isRelay() const
+bool ownership_runner::isRelay(bool toRelay) const
 {
-    return d->zoneGroup && d->isRelay();
+    return d->zoneGroup && d->isRelay(toRelay);
+}
+
+bool ownership_runner::leads() const
+{
+    return d->leads();
 }
 
 bool ownership_runner::leadsZone() const
@@ -558,8 +581,9 @@
         }
         services[service.value()] = std::move(ranges);
     }
-    const nlohmann::json document
-        = { { "leads", d->leads() }, { "epoch", d->epoch }, { "generation", d->generation() }, { "relay", isRelay() }, { "services", std::move(services) } };
+    const nlohmann::json document = {
+        { "leads", d->leads() }, { "epoch", d->epoch }, { "generation", d->generation() }, { "relay", isRelay(false) }, { "services", std::move(services) }
+    };
     return document.dump(1);
 }
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -27,6 +27,9 @@
     double processorShare = 1;
 };
 
+/** An instance with this processor share, in cores, reads the store for its zone if it is chosen. Others do so only if there is nobody else. Thread-safe. */
+bool isRelayCandidate(double processorShare) noexcept;
+
 /** What an ownership_runner works with; all of it outlives the runner. */
 struct ownership_environment {
     metadata_store &store;
@@ -70,8 +73,11 @@
      */
     bool stopBefore(std::uint64_t epoch);
 
-    /** This instance reads the store for its zone, and the store answers. */
-    bool isRelay() const;
+    /** This instance reads the store for its zone, and the store answers; lately enough for other relays if @p toRelay. */
+    bool isRelay(bool toRelay) const;
+
+    /** This instance assigns keys. */
+    bool leads() const;
 
     /** This instance was chosen to read the store for its zone. */
     bool leadsZone() const;
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/permit_service.cpp
@@ -0,0 +1,151 @@
+#include "sycamoretrayd/gateway/permit_service.h"
+
+#include "executor/detail/serial_executor_state.h"
+#include "executor/steady_time.h"
+#include "observability/event_log.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoretray
+{
+
+struct permit_service::impl : permit_port, std::enable_shared_from_this<impl> {
+    impl(serial_executor givenExecutor,
+         datagram_channel &givenDatagrams,
+         network_address givenSelf,
+         std::function<std::optional<availability_zone>(const endpoint_life &)> zoneOf,
+         permit_observer observer)
+        : executor(std::move(givenExecutor))
+        , datagrams(givenDatagrams)
+        , self(std::move(givenSelf))
+        , timer(executor.state().strand)
+        , keeper(*this)
+        , client({ std::move(zoneOf) }, *this, std::move(observer))
+    {
+    }
+
+    serial_executor executor;
+    datagram_channel &datagrams;
+    network_address self;
+    boost::asio::steady_timer timer;
+    monotonic_time timerAt = monotonic_time::max();
+    permit_keeper keeper;
+    permit_client client;
+    bool armPosted = false;
+
+    void send(const network_address &to, const permit_message &message) override
+    {
+        if (to == self) {
+            executor.post([weak = weak_from_this(), message] {
+                if (const auto me = weak.lock()) {
+                    me->received(me->self, message);
+                }
+            });
+        } else {
+            datagrams.send(to, datagram_kind::permit, encodePermitMessage(message));
+        }
+        armLater();
+    }
+
+    void received(const network_address &from, const permit_message &message)
+    {
+        const monotonic_time now = steadyNow();
+        keeper.received(from, message, now);
+        client.received(from, message, now);
+        arm();
+    }
+
+    /** Messages are sent from within calls that change when something is due. */
+    void armLater()
+    {
+        if (std::exchange(armPosted, true)) {
+            return;
+        }
+        executor.post([weak = weak_from_this()] {
+            if (const auto me = weak.lock()) {
+                me->armPosted = false;
+                me->arm();
+            }
+        });
+    }
+
+    void arm()
+    {
+        const monotonic_time now = steadyNow();
+        const monotonic_time due = std::min(keeper.nextDue(now), client.nextDue());
+        if (due >= timerAt) {
+            return;
+        }
+        timerAt = due;
+        timer.expires_after(std::max<time_span>(time_span::zero(), due - now));
+        timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto me = weak.lock();
+            if (error || !me) {
+                return;
+            }
+            me->timerAt = monotonic_time::max();
+            const monotonic_time later = steadyNow();
+            me->keeper.advance(later);
+            me->client.advance(later);
+            me->arm();
+        });
+    }
+};
+
+permit_service::permit_service(serial_executor executor,
+                               datagram_channel &datagrams,
+                               const network_address &self,
+                               std::function<std::optional<availability_zone>(const endpoint_life &)> zoneOf,
+                               permit_observer observer)
+    : d(std::make_shared<impl>(std::move(executor), datagrams, self, std::move(zoneOf), std::move(observer)))
+{
+    datagrams.onReceived(datagram_kind::permit, [weak = std::weak_ptr<impl>(d)](const network_address &from, std::string_view content) {
+        const auto me = weak.lock();
+        if (!me) {
+            return;
+        }
+        if (const auto message = decodePermitMessage(content)) {
+            me->received(from, *message);
+        } else {
+            logEvent(event_severity::warning, "permit_message_unreadable", { { "from", from.value() }, { "bytes", std::to_string(content.size()) } });
+        }
+    });
+}
+
+permit_service::~permit_service() = default;
+
+permit_source &permit_service::source()
+{
+    return d->client;
+}
+
+void permit_service::setCandidates(const keeper_candidates &candidates)
+{
+    d->client.setCandidates(candidates);
+}
+
+void permit_service::setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints)
+{
+    d->keeper.setEndpoints(endpoints, steadyNow());
+    d->arm();
+}
+
+void permit_service::resign()
+{
+    d->keeper.resign(steadyNow());
+}
+
+std::size_t permit_service::waiting() const
+{
+    return d->keeper.waiting();
+}
+
+std::size_t permit_service::inUse() const
+{
+    return d->keeper.inUse();
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/permit_service.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "executor/serial_executor.h"
+#include "permits/permit_client.h"
+#include "permits/permit_keeper.h"
+#include "sycamoretrayd/gateway/datagram_channel.h"
+
+#include <memory>
+
+namespace sycamoretray
+{
+
+/**
+ * Connects the keeper of queues and the client of other keepers to datagrams and a timer.
+ *
+ * Thread safety: none; used on the strand of the executor.
+ */
+class permit_service
+{
+public:
+    /**
+     * @param datagrams  must outlive this object
+     * @param self  internal address of this instance
+     * @param zoneOf  see permit_client_settings
+     */
+    permit_service(serial_executor executor,
+                   datagram_channel &datagrams,
+                   const network_address &self,
+                   std::function<std::optional<availability_zone>(const endpoint_life &)> zoneOf,
+                   permit_observer observer);
+    ~permit_service();
+    permit_service(const permit_service &) = delete;
+    permit_service &operator=(const permit_service &) = delete;
+
+    /** Where the gateway asks for permits. */
+    permit_source &source();
+
+    void setCandidates(const keeper_candidates &candidates);
+    void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints);
+
+    /** This instance stops: other keepers take over its queues. */
+    void resign();
+
+    /** Requests that wait for permits of this instance, and permits in use. */
+    std::size_t waiting() const;
+    std::size_t inUse() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> d;
+};
+
+} // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/relayed_store.cpp
+++ b/apps/sycamoretrayd/gateway/relayed_store.cpp
@@ -17,10 +17,18 @@
 
 // Beyond the time that the relay holds the read. Short, because a relay that stands still delays what this instance learns.
 constexpr time_span relayTimeout = std::chrono::milliseconds(300);
-// A relay that failed is left alone for this time.
+// A relay that did not answer is left alone for this time.
 constexpr time_span relayPause = std::chrono::milliseconds(1500);
-// The same for the store, if it failed as well.
+// The same for one that refused: it learns first when the store is back.
+constexpr time_span refusalPause = std::chrono::milliseconds(600);
+// Time for the record of a new relay to arrive, after the former one refused.
+constexpr std::uint32_t newRelayMilliseconds = 300;
+// The same for the store, if it failed as well; every call of every instance is paid for.
 constexpr time_span directPause = std::chrono::milliseconds(2000);
+// The same while the relay of the zone answers that the store is lost.
+constexpr time_span refusedDirectPause = std::chrono::seconds(4);
+// How often a read waits for the new relay or for the store's answer about it.
+constexpr int mostWaits = 3;
 // Longer than a relay holds a read and its caller waits for it.
 constexpr std::uint32_t formerRelayMilliseconds = 15000;
 // Between reads of the store by an instance that reads for itself alone: hundreds of records arrive within seconds when a site
@@ -51,11 +59,18 @@
     std::function<bool()> storeAnswers;
     std::optional<network_address> relay;
     std::shared_ptr<http_connection_pool> pool;
+    std::string relayTopic;
+    /** Parameters of reads that say who this instance is. */
+    std::string reader;
     bool readsForOthers = false;
     monotonic_time pausedUntil{};
     monotonic_time directPausedUntil{};
     /** Since when the relay has failed. */
     std::optional<monotonic_time> failingSince;
+    /** The relay's last failure was an answer. */
+    bool refused = false;
+    /** When the store answered a read of this instance last. */
+    std::optional<monotonic_time> directAnsweredAt;
     std::uint64_t lastRead = 0;
     std::map<std::uint64_t, open_read> reads;
 
@@ -66,6 +81,11 @@
     {
     }
 
+    std::string parameters() const
+    {
+        return reader + (readsForOthers ? "&relay=1" : "");
+    }
+
     bool usesRelay() const
     {
         return pool && steadyNow() >= pausedUntil;
@@ -77,10 +97,18 @@
         return !pool || (storeAnswers() && steadyNow() >= directPausedUntil);
     }
 
+    /** The store answered this instance since the relay failed. */
+    bool storeReached() const
+    {
+        return directAnsweredAt && (!failingSince || *directAnsweredAt >= *failingSince);
+    }
+
     void noteDirectResult(store_result result)
     {
-        if (pool && result != store_result::ok && result != store_result::expired) {
-            directPausedUntil = steadyNow() + directPause;
+        if (result == store_result::ok || result == store_result::expired) {
+            directAnsweredAt = steadyNow();
+        } else if (pool) {
+            directPausedUntil = steadyNow() + (refused ? refusedDirectPause : directPause);
         }
     }
 
@@ -104,9 +132,10 @@
         return pool->exchange(std::move(wire), false, timeout, std::move(done));
     }
 
-    void relayFailed(const std::string &topic)
+    void relayFailed(const std::string &topic, const http_exchange_result &result)
     {
-        pausedUntil = steadyNow() + relayPause;
+        refused = result.code == result_code::ok;
+        pausedUntil = steadyNow() + (refused ? refusalPause : relayPause);
         if (!failingSince) {
             failingSince = steadyNow();
         }
@@ -129,7 +158,8 @@
     void relayRead(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
     {
         const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-        const std::string target = "/v1/topics/read?topic=" + topic + "&from=" + std::to_string(from.value()) + "&wait_ms=" + std::to_string(milliseconds);
+        const std::string target
+            = "/v1/topics/read?topic=" + topic + "&from=" + std::to_string(from.value()) + "&wait_ms=" + std::to_string(milliseconds) + parameters();
         const std::uint64_t inner
             = ask(target, wait + relayTimeout, [weak = weak_from_this(), id, topic, from, wait, done = std::move(done)](const http_exchange_result &result) {
                   if (const auto self = weak.lock()) {
@@ -154,14 +184,76 @@
             done(std::move(*reply));
             return;
         }
-        relayFailed(topic);
-        if (mayReadDirectly()) {
-            readDirectly(id, topic, from, wait, done);
+        relayFailed(topic, result);
+        if (waitsForNewRelay(topic, result)) {
+            startLater(id, topic, from, wait, done, 1);
+            return;
+        }
+        readHere(id, topic, from, wait, done, 0);
+    }
+
+    void startLater(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, const std::function<void(keyed_read)> &done, int waits)
+    {
+        reads[id] = {};
+        later([this, id, topic, from, wait, done, waits] {
+            if (reads.contains(id)) {
+                start(id, topic, from, wait, done, waits);
+            }
+        });
+    }
+
+    /** The relay answers, but relays no more. An instance that others read from does not wait. */
+    bool waitsForNewRelay(const std::string &topic, const http_exchange_result &result) const
+    {
+        return result.code == result_code::ok && topic != relayTopic && !readsForOthers;
+    }
+
+    void later(std::function<void()> function)
+    {
+        executor.repeat(newRelayMilliseconds, [weak = weak_from_this(), function = std::move(function)] {
+            if (const auto self = weak.lock()) {
+                function();
+            }
+            return false;
+        });
+    }
+
+    void start(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, const std::function<void(keyed_read)> &done, int waits)
+    {
+        if (usesRelay()) {
+            relayRead(id, topic, from, wait, done);
         } else {
+            readHere(id, topic, from, wait, done, waits);
+        }
+    }
+
+    /** While the relay fails, one topic shows whether the store answers, and who relays now; the others wait for that. */
+    void readHere(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, const std::function<void(keyed_read)> &done, int waits)
+    {
+        const bool first = topic == relayTopic;
+        const bool uncertain = pool && !readsForOthers && !storeReached();
+        if (uncertain && !first && waits < mostWaits) {
+            startLater(id, topic, from, wait, done, waits + 1);
+        } else if (!mayReadDirectly() || (uncertain && !first)) {
             readUnavailable(id, done);
+        } else {
+            readDirectly(id, topic, from, uncertain ? time_span::zero() : wait, done);
         }
     }
 
+    void list(const std::string &topic, const std::function<void(keyed_listing)> &done)
+    {
+        if (!usesRelay()) {
+            store.list(topic, {}, done);
+            return;
+        }
+        ask("/v1/topics/list?topic=" + topic + parameters(), relayTimeout, [weak = weak_from_this(), topic, done](const http_exchange_result &result) {
+            if (const auto self = weak.lock()) {
+                self->relayListDone(topic, result, done);
+            }
+        });
+    }
+
     void relayListDone(const std::string &topic, const http_exchange_result &result, const std::function<void(keyed_listing)> &done)
     {
         const bool answered = result.code == result_code::ok && result.response.status == 200;
@@ -170,7 +262,13 @@
             done(std::move(*reply));
             return;
         }
-        relayFailed(topic);
+        relayFailed(topic, result);
+        if (waitsForNewRelay(topic, result)) {
+            later([this, topic, done] {
+                list(topic, done);
+            });
+            return;
+        }
         store.list(topic, {}, done);
     }
 };
@@ -204,7 +302,17 @@
 
 time_span relayed_store::relayFailing() const
 {
-    return d->failingSince ? steadyNow() - *d->failingSince : time_span::zero();
+    return d->failingSince && d->storeReached() ? steadyNow() - *d->failingSince : time_span::zero();
+}
+
+void relayed_store::setRelayTopic(const std::string &topic)
+{
+    d->relayTopic = topic;
+}
+
+void relayed_store::setReader(const network_address &instance, double weight)
+{
+    d->reader = "&reader=" + instance.value() + "&weight=" + std::to_string(weight);
 }
 
 void relayed_store::setReadsForOthers(bool readsForOthers)
@@ -212,6 +320,11 @@
     d->readsForOthers = readsForOthers;
 }
 
+bool relayed_store::readsFromRelay() const
+{
+    return d->usesRelay();
+}
+
 time_span relayed_store::readSpacing() const
 {
     return d->readsForOthers || d->usesRelay() ? d->store.readSpacing() : ownReadSpacing;
@@ -220,13 +333,7 @@
 std::uint64_t relayed_store::read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
 {
     const std::uint64_t id = ++d->lastRead;
-    if (d->usesRelay()) {
-        d->relayRead(id, topic, from, wait, std::move(done));
-    } else if (d->mayReadDirectly()) {
-        d->readDirectly(id, topic, from, wait, std::move(done));
-    } else {
-        d->readUnavailable(id, std::move(done));
-    }
+    d->start(id, topic, from, wait, done, 0);
     return id;
 }
 
@@ -247,15 +354,11 @@
 
 void relayed_store::list(const std::string &topic, const std::string &after, std::function<void(keyed_listing)> done)
 {
-    if (!d->usesRelay() || !after.empty()) {
+    if (!after.empty()) {
         d->store.list(topic, after, std::move(done));
         return;
     }
-    d->ask("/v1/topics/list?topic=" + topic, relayTimeout, [weak = d->weak_from_this(), topic, done = std::move(done)](const http_exchange_result &result) {
-        if (const auto self = weak.lock()) {
-            self->relayListDone(topic, result, done);
-        }
-    });
+    d->list(topic, done);
 }
 
 void relayed_store::append(const std::string &topic,
--- a/apps/sycamoretrayd/gateway/relayed_store.h
+++ b/apps/sycamoretrayd/gateway/relayed_store.h
@@ -28,15 +28,27 @@
     relayed_store(const relayed_store &) = delete;
     relayed_store &operator=(const relayed_store &) = delete;
 
-    /** How long the relay has failed without an answer in between; 0 if it answers or there is none. */
+    /** How long the relay has failed while the store answers this instance; 0 if the relay answers, or there is none, or the store is lost. */
     time_span relayFailing() const;
 
     /** Sets the internal address of the relay; nothing if this instance reads the store itself. */
     void setRelay(const std::optional<network_address> &relay);
 
-    /** Others read from this instance, so that it reads the store without delay. */
+    /**
+     * Sets the topic whose records name the relays. If a relay refuses, because another instance has taken over, this topic is read
+     * from the store at once, and the others as soon as the new relay is known or a moment has passed.
+     */
+    void setRelayTopic(const std::string &topic);
+
+    /** Tells the relay of the zone with each read who this instance is. @param weight  its share of shared duties; 0 if it is about to stop */
+    void setReader(const network_address &instance, double weight);
+
+    /** This instance passes topics on inside its zone, so that it reads them without delay, and says so to the relay that it reads from. */
     void setReadsForOthers(bool readsForOthers);
 
+    /** Topics are read from another instance at present. */
+    bool readsFromRelay() const;
+
     /** Longer while this instance reads the store for itself alone, as all do at the start and after the loss of a relay. */
     time_span readSpacing() const override;
 
--- a/apps/sycamoretrayd/gateway/store_feeds.cpp
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -37,11 +37,14 @@
     topic_relay &relay;
     feed_observer observer;
     std::map<availability_zone, network_address> relays;
+    keeper_candidates instances;
     std::set<std::string> lostTopics;
     endpoint_directory directory;
     ownership_view ownership;
     std::shared_ptr<const request_routes> routes;
     bool endpointsListed = false;
+    bool configurationListed = false;
+    bool allStarted = false;
     bool ownershipListed = false;
     keyed_topic_follower endpointFeed;
     keyed_topic_follower configurationFeed;
@@ -155,6 +158,7 @@
     {
         topic_observer result;
         result.listed = [this](const std::vector<keyed_record> &records, log_offset /*end*/) {
+            configurationListed = true;
             takeConfiguration(records);
         };
         result.appended = [this](const std::vector<keyed_record> &records) {
@@ -180,6 +184,7 @@
     {
         bool changed = false;
         bool relaysChanged = false;
+        bool instancesChanged = false;
         for (const keyed_record &record : records) {
             if (!record.value) {
                 continue;
@@ -189,6 +194,11 @@
                 relaysChanged = true;
                 continue;
             }
+            if (const auto zone = instancesZone(record.key)) {
+                instances[*zone] = decodeCandidates(*record.value);
+                instancesChanged = true;
+                continue;
+            }
             changed = takeOwnershipRecord(record.key, *record.value) || changed;
         }
         if (changed) {
@@ -197,6 +207,9 @@
         if (relaysChanged) {
             observer.relaysChanged();
         }
+        if (instancesChanged) {
+            observer.instancesChanged();
+        }
     }
 
     topic_observer ownershipObserver()
@@ -222,16 +235,24 @@
 
 void store_feeds::start()
 {
-    d->endpointFeed.start();
-    d->configurationFeed.start();
     d->ownershipFeed.start();
 }
 
+void store_feeds::startAll()
+{
+    if (!std::exchange(d->allStarted, true)) {
+        d->endpointFeed.start();
+        d->configurationFeed.start();
+    }
+}
+
 void store_feeds::restart()
 {
-    d->endpointFeed.restart();
-    d->configurationFeed.restart();
     d->ownershipFeed.restart();
+    if (d->allStarted) {
+        d->endpointFeed.restart();
+        d->configurationFeed.restart();
+    }
 }
 
 void store_feeds::expire(monotonic_time now)
@@ -268,11 +289,21 @@
     return d->endpointsListed && d->ownershipListed && d->routes;
 }
 
+bool store_feeds::isListed() const noexcept
+{
+    return d->endpointsListed && d->ownershipListed && d->configurationListed;
+}
+
 const std::map<availability_zone, network_address> &store_feeds::relays() const noexcept
 {
     return d->relays;
 }
 
+const keeper_candidates &store_feeds::instances() const noexcept
+{
+    return d->instances;
+}
+
 bool store_feeds::isLost() const noexcept
 {
     return !d->lostTopics.empty();
--- a/apps/sycamoretrayd/gateway/store_feeds.h
+++ b/apps/sycamoretrayd/gateway/store_feeds.h
@@ -5,6 +5,7 @@
 #include "executor/serial_executor.h"
 #include "key_ownership/ownership_view.h"
 #include "metadata_store/metadata_store.h"
+#include "permits/keeper_ranking.h"
 
 #include <functional>
 #include <map>
@@ -19,6 +20,7 @@
     std::function<void()> routesChanged;
     std::function<void()> ownershipChanged;
     std::function<void()> relaysChanged;
+    std::function<void()> instancesChanged;
 };
 
 class topic_relay;
@@ -37,8 +39,12 @@
     store_feeds(const store_feeds &) = delete;
     store_feeds &operator=(const store_feeds &) = delete;
 
+    /** Follows the ownership records, which name the relay of the zone. */
     void start();
 
+    /** Follows the endpoints and the configuration as well. Repeated calls have no effect. */
+    void startAll();
+
     /** The store answers again after a failure: reads whose connections may be dead are started anew. */
     void restart();
 
@@ -54,8 +60,12 @@
     const std::shared_ptr<const request_routes> &routes() const noexcept;
     /** All endpoints and ownership records that existed at the start are known. */
     bool isComplete() const noexcept;
+    /** All topics were listed, whether a configuration exists or not. */
+    bool isListed() const noexcept;
     /** Internal address of the instance of each availability zone that reads the store for the others. */
     const std::map<availability_zone, network_address> &relays() const noexcept;
+    /** Live instances of each availability zone, as their relays have published them. */
+    const keeper_candidates &instances() const noexcept;
     /** Reads fail at present. */
     bool isLost() const noexcept;
     /** Offset up to which ownership records are known. */
--- a/apps/sycamoretrayd/gateway/topic_relay.cpp
+++ b/apps/sycamoretrayd/gateway/topic_relay.cpp
@@ -46,6 +46,12 @@
     return value;
 }
 
+/** The reader is a relay itself. */
+bool isRelay(std::string_view query)
+{
+    return parameter(query, "relay").has_value();
+}
+
 http_response cborAnswer(std::string body)
 {
     http_response response;
@@ -62,15 +68,17 @@
         log_offset from;
         monotonic_time until;
         std::shared_ptr<answer_slot> slot;
+        bool byRelay = false;
     };
 
     serial_executor executor;
-    std::function<bool()> isCurrent;
+    std::function<bool(bool toRelay)> isCurrent;
+    std::function<void(const network_address &, double)> readerSeen;
     std::map<std::string, topic_copy> copies;
     std::vector<waiting_read> waiting;
     bool checking = false;
 
-    impl(serial_executor givenExecutor, std::function<bool()> givenIsCurrent)
+    impl(serial_executor givenExecutor, std::function<bool(bool toRelay)> givenIsCurrent)
         : executor(std::move(givenExecutor))
         , isCurrent(std::move(givenIsCurrent))
     {
@@ -82,7 +90,7 @@
         if (copy == copies.end()) {
             return errorAnswer(result_code::unknown_name, {});
         }
-        if (!copy->second.isComplete() || !isCurrent()) {
+        if (!copy->second.isComplete() || !isCurrent(isRelay(query))) {
             return errorAnswer(result_code::log_unavailable, {});
         }
         return cborAnswer(encodeListing(copy->second.list()));
@@ -97,7 +105,7 @@
             slot->answer(errorAnswer(result_code::unknown_name, {}));
             return;
         }
-        if (!copy->second.isComplete() || !isCurrent()) {
+        if (!copy->second.isComplete() || !isCurrent(isRelay(query))) {
             slot->answer(errorAnswer(result_code::log_unavailable, {}));
             return;
         }
@@ -107,10 +115,21 @@
             slot->answer(cborAnswer(encodeRead(reply)));
             return;
         }
-        waiting.push_back({ topic, log_offset(*from), steadyNow() + std::chrono::milliseconds(wait), slot });
+        waiting.push_back({ topic, log_offset(*from), steadyNow() + std::chrono::milliseconds(wait), slot, isRelay(query) });
         check();
     }
 
+    void noteReader(std::string_view query) const
+    {
+        const auto reader = parameter(query, "reader");
+        const auto text = parameter(query, "weight");
+        double weight = 0;
+        if (!readerSeen || isRelay(query) || !reader || !text || std::from_chars(text->data(), text->data() + text->size(), weight).ec != std::errc()) {
+            return;
+        }
+        readerSeen(network_address(std::string(*reader)), weight);
+    }
+
     /** Answers reads whose time is over, as long as there are any. */
     void check()
     {
@@ -131,9 +150,8 @@
     void expire()
     {
         const monotonic_time now = steadyNow();
-        const bool current = isCurrent();
         answerIf([&](const waiting_read &each) {
-            return !current || now >= each.until || each.slot->callerGone();
+            return !isCurrent(each.byRelay) || now >= each.until || each.slot->callerGone();
         });
     }
 
@@ -144,11 +162,10 @@
         });
         const std::vector<waiting_read> due(std::make_move_iterator(kept), std::make_move_iterator(waiting.end()));
         waiting.erase(kept, waiting.end());
-        const bool current = isCurrent();
         // Most readers wait at the same offset, so that one encoded answer serves them all.
         std::map<std::pair<std::string, log_offset>, std::string> encoded;
         for (const waiting_read &each : due) {
-            if (!current) {
+            if (!isCurrent(each.byRelay)) {
                 each.slot->answer(errorAnswer(result_code::log_unavailable, {}));
                 continue;
             }
@@ -161,13 +178,18 @@
     }
 };
 
-topic_relay::topic_relay(serial_executor executor, std::function<bool()> isCurrent)
+topic_relay::topic_relay(serial_executor executor, std::function<bool(bool toRelay)> isCurrent)
     : d(std::make_shared<impl>(std::move(executor), std::move(isCurrent)))
 {
 }
 
 topic_relay::~topic_relay() = default;
 
+void topic_relay::onReader(std::function<void(const network_address &, double)> seen)
+{
+    d->readerSeen = std::move(seen);
+}
+
 topic_copy &topic_relay::copyOf(const std::string &topic)
 {
     return d->copies[topic];
@@ -191,6 +213,7 @@
         return true;
     }
     if (target.starts_with(readTarget)) {
+        d->noteReader(target.substr(readTarget.size()));
         d->read(target.substr(readTarget.size()), slot);
         return true;
     }
--- a/apps/sycamoretrayd/gateway/topic_relay.h
+++ b/apps/sycamoretrayd/gateway/topic_relay.h
@@ -13,7 +13,8 @@
 
 /**
  * Lets other instances read topics from this one, so that a change costs one read of the store for each availability zone and
- * not one for each instance. GET /v1/topics/list?topic=T and GET /v1/topics/read?topic=T&from=N&wait_ms=N.
+ * not one for each instance. GET /v1/topics/list?topic=T and GET /v1/topics/read?topic=T&from=N&wait_ms=N&reader=ADDRESS&weight=W,
+ * where relays add &relay=1.
  *
  * Thread safety: none; used on the strand of the executor.
  */
@@ -21,10 +22,14 @@
 {
 public:
     /**
-     * @param isCurrent  says whether this instance reads the store itself and the store answers; otherwise the relay refuses,
-     *                   because it would pass on what is out of date
+     * @param isCurrent  says whether this instance may pass on what it knows to another relay, or to the other instances of its
+     *                   zone; otherwise it refuses, because that may be out of date
      */
-    topic_relay(serial_executor executor, std::function<bool()> isCurrent);
+    topic_relay(serial_executor executor, std::function<bool(bool toRelay)> isCurrent);
+
+    /** Sets who is told which instance reads, with its weight. Call it before the first handle(). */
+    void onReader(std::function<void(const network_address &reader, double weight)> seen);
+
     ~topic_relay();
     topic_relay(const topic_relay &) = delete;
     topic_relay &operator=(const topic_relay &) = delete;
--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -12,6 +12,7 @@
     : settings(std::move(givenSettings))
     , port(givenPort)
     , log(std::move(givenLog))
+    , lastPermit(settings.firstPermit)
     , splits(std::hash<std::string>{}(settings.instance.value()))
 {
 }
@@ -73,9 +74,36 @@
             gatesOfService[service].push_back(endpoint.entry.life);
         }
     }
+    orderZones();
     forgetUnlisted();
 }
 
+void gateway_state::orderZones()
+{
+    zonesOfService.clear();
+    for (const auto &[service, lives] : gatesOfService) {
+        std::set<availability_zone> others;
+        bool own = false;
+        for (const endpoint_life &life : lives) {
+            const endpoint_entry &entry = gates.at(life).gate.entry();
+            if (!entry.draining) {
+                own = own || entry.zone == settings.zone;
+                others.insert(entry.zone);
+            }
+        }
+        others.erase(settings.zone);
+        std::vector<availability_zone> zones(others.begin(), others.end());
+        if (!zones.empty()) {
+            const std::size_t first = std::hash<std::string>{}(settings.instance.value()) % zones.size();
+            std::rotate(zones.begin(), zones.begin() + static_cast<std::ptrdiff_t>(first), zones.end());
+        }
+        if (own) {
+            zones.insert(zones.begin(), settings.zone);
+        }
+        zonesOfService[service] = std::move(zones);
+    }
+}
+
 void gateway_state::forgetUnlisted()
 {
     std::erase_if(gates, [](const auto &item) {
@@ -145,6 +173,7 @@
     const nlohmann::json document = { { "config_version", routes ? nlohmann::json(routes->version()) : nlohmann::json() },
                                       { "unfinished", requests.size() },
                                       { "parked", parked.size() },
+                                      { "asking_permits", asking.size() },
                                       { "endpoints", std::move(endpoints) } };
     return document.dump(1);
 }
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -23,6 +23,8 @@
     delayed,
     /** Waits for room at an endpoint. */
     queued,
+    /** Waits for a permit. */
+    asking,
     in_flight,
 };
 
@@ -70,6 +72,12 @@
     /** An attempt ended without saying that it did not run. */
     bool mayHaveRun = false;
     std::set<endpoint_id> tried;
+    /** Set while the request waits for a permit, or uses one. */
+    std::optional<permit_id> permit;
+    /** Owner of the key when the permit was asked for. */
+    endpoint_life askedOwner;
+    /** Zones that were asked for a permit, for a service that is not divided by key. */
+    std::uint32_t zonesAsked = 0;
 };
 
 /** Order of requests in a pool: by rank, then by arrival. */
@@ -106,6 +114,8 @@
     gateway_settings settings;
     endpoint_port &port;
     gateway_log log;
+    permit_source *permits = nullptr;
+    std::uint64_t lastPermit = 0;
     std::shared_ptr<const request_routes> routes;
     ownership_view ownership;
     monotonic_time ownershipSince{};
@@ -115,6 +125,10 @@
     std::map<endpoint_attempt_id, gateway_request_id> attempts;
     std::map<pool_key, std::set<queue_position>> pools;
     std::set<gateway_request_id> parked;
+    /** Requests that wait for permits. */
+    std::map<permit_id, gateway_request_id> asking;
+    /** Zones in which a service has endpoints for new work: the own one first, then the others in an order that differs between instances. */
+    std::map<service_id, std::vector<availability_zone>> zonesOfService;
     std::multimap<monotonic_time, timer> timers;
     std::set<pool_key> poolTimers;
     std::map<service_id, retry_allowance> allowances;
@@ -124,6 +138,8 @@
     std::uint64_t lastRequest = 0;
     std::uint64_t lastAttempt = 0;
     std::uint32_t instances = 0;
+    /** Instances that are known to live, whether they have reported load or not. */
+    std::uint32_t knownInstances = 0;
 
     retry_allowance &allowance(const service_id &service);
     void setInstances(std::uint32_t count);
@@ -136,6 +152,8 @@
     /** The endpoint may be sent requests for keys that it holds. */
     bool mayUse(const gate_entry &gate, monotonic_time now) const;
 
+    void orderZones();
+
     void unqueue(waiting_request &request);
     void remove(waiting_request &request);
     void wakeAt(const waiting_request &request, monotonic_time time);
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -28,8 +28,12 @@
 // Sending to another zone is worth it if it saves more than this many times the usual time of the request. Latency targets leave
 // about twice the usual time for waiting, and bytes between zones are paid for.
 constexpr double zonePenalty = 1.5;
+// Other zones that are asked for a permit before the request waits in its own.
+constexpr std::uint32_t otherZonesAsked = 2;
 // A request is refused at once if it is expected to take longer than this part of its latency target.
 constexpr double acceptedLateness = 1.25;
+// The same for requests with permits: a queue that is known as a whole predicts their time better.
+constexpr double permitLateness = 1.1;
 
 std::string milliseconds(time_span span)
 {
@@ -95,6 +99,7 @@
     /** Sends the request, queues it, or refuses it. */
     void place(waiting_request &subject, monotonic_time now)
     {
+        withdraw(subject, now);
         unqueue(subject);
         if (now + leastTimeLeft >= subject.deadline) {
             expire(subject, now);
@@ -122,11 +127,170 @@
     }
 
     void enqueue(waiting_request &subject, const detail::pool_key &pool, monotonic_time now)
+    {
+        if (!askForPermit(subject, pool, now)) {
+            enqueueHere(subject, pool, now);
+        }
+    }
+
+    // --- permits ---
+
+    /** Returns false if no permit is needed. */
+    bool askForPermit(waiting_request &subject, const detail::pool_key &pool, monotonic_time now)
+    {
+        if (permits == nullptr) {
+            return false;
+        }
+        permit_request question;
+        question.id = permit_id(lastPermit + 1);
+        question.service = subject.service;
+        question.owner = pool.endpoint;
+        question.key = subject.byKey ? subject.request.key : std::nullopt;
+        question.priority = subject.route.priority;
+        question.usual = times.of(subject.route);
+        question.useful = usefulTime(subject, permitLateness, now);
+        question.tried.assign(subject.tried.begin(), subject.tried.end());
+        if (!subject.byKey && !chooseZone(subject, question)) {
+            return false;
+        }
+        if (!permits->isUsed(question)) {
+            return false;
+        }
+        ++lastPermit;
+        subject.state = request_state::asking;
+        subject.permit = question.id;
+        subject.askedOwner = question.owner.value_or(endpoint_life());
+        asking.emplace(question.id, subject.id);
+        permits->ask(question, now);
+        return true;
+    }
+
+    /** Time within which an answer is worth the work. */
+    static time_span usefulTime(const waiting_request &subject, double lateness, monotonic_time now)
+    {
+        const auto target = std::chrono::duration_cast<time_span>(subject.route.latencyTarget * lateness);
+        return std::min(subject.deadline - now, target - (now - subject.arrived));
+    }
+
+    /**
+     * The own zone comes first, and the others if waiting there takes long. At last the request waits in its own zone as long as the answer is of use.
+     * Returns false if no zone has endpoints.
+     */
+    bool chooseZone(const waiting_request &subject, permit_request &question)
+    {
+        const std::vector<availability_zone> &zones = zonesOfService[subject.service];
+        if (zones.empty()) {
+            return false;
+        }
+        const std::size_t asked = subject.zonesAsked;
+        const std::size_t turns = std::min<std::size_t>(zones.size(), 1 + otherZonesAsked);
+        if (asked >= turns || zones.size() == 1) {
+            question.zone = zones.front();
+            return true;
+        }
+        question.zone = zones[asked];
+        question.useful = std::min(question.useful, std::chrono::duration_cast<time_span>(question.usual * (1 + zonePenalty)));
+        return true;
+    }
+
+    bool mayAskOtherZone(const waiting_request &subject)
+    {
+        const std::size_t zones = zonesOfService[subject.service].size();
+        return !subject.byKey && zones > 1 && subject.zonesAsked < std::min<std::size_t>(zones, 1 + otherZonesAsked);
+    }
+
+    /** Takes the request that waits for @p permit, or returns nullptr. */
+    waiting_request *takeAsking(permit_id permit)
+    {
+        const auto found = asking.find(permit);
+        if (found == asking.end()) {
+            return nullptr;
+        }
+        waiting_request *subject = requests.at(found->second).get();
+        asking.erase(found);
+        subject->state = request_state::parked;
+        return subject;
+    }
+
+    void permitGranted(permit_id permit, const endpoint_life &life, monotonic_time now)
+    {
+        waiting_request *subject = takeAsking(permit);
+        if (subject == nullptr) {
+            return;
+        }
+        detail::gate_entry *gate = gateOf(life);
+        const bool usable = gate != nullptr && mayUse(*gate, now) && (subject->byKey || !gate->gate.entry().draining);
+        if (usable) {
+            send(*subject, *gate, now);
+            return;
+        }
+        // This instance and the keeper learn of changes at different times.
+        returnPermit(*subject, {}, now);
+        subject->retryAt = now + fullRetryDelay;
+        subject->state = request_state::delayed;
+        wakeAt(*subject, subject->retryAt);
+    }
+
+    void permitRefused(permit_id permit, time_span retryAfter, monotonic_time now)
+    {
+        waiting_request *subject = takeAsking(permit);
+        if (subject == nullptr) {
+            return;
+        }
+        subject->permit.reset();
+        if (mayAskOtherZone(*subject)) {
+            ++subject->zonesAsked;
+            place(*subject, now);
+            return;
+        }
+        refuse(*subject, result_code::deadline_unreachable, std::clamp(retryAfter, shortRetryAfter, longestRetryAfter), now);
+    }
+
+    void permitUnavailable(permit_id permit, monotonic_time now)
+    {
+        waiting_request *subject = takeAsking(permit);
+        if (subject == nullptr) {
+            return;
+        }
+        subject->permit.reset();
+        if (!subject->byKey) {
+            enqueueHere(*subject, detail::pool_key(subject->service), now);
+            return;
+        }
+        const key_owner owner = ownership.find(subject->service, *subject->request.key);
+        enqueueHere(*subject, detail::pool_key(owner.owner), now);
+    }
+
+    /** Ends the wait for a permit. */
+    void withdraw(waiting_request &subject, monotonic_time now)
+    {
+        if (subject.state == request_state::asking) {
+            asking.erase(*subject.permit);
+            subject.state = request_state::parked;
+        }
+        returnPermit(subject, {}, now);
+    }
+
+    void returnPermit(waiting_request &subject, const permit_result &result, monotonic_time now)
+    {
+        if (subject.permit) {
+            permits->giveBack(*subject.permit, result, now);
+            subject.permit.reset();
+        }
+    }
+
+    static permit_result permitResult(const endpoint_reply &reply)
+    {
+        return { true, reply.kind, reply.sent, reply.misdirected, reply.response.status, reply.load };
+    }
+
+    // --- queues of this instance ---
+
+    void enqueueHere(waiting_request &subject, const detail::pool_key &pool, monotonic_time now)
     {
         const time_span wait = expectedWait(subject, pool, now);
         // Late answers are worth little, and each one makes the requests behind it late as well.
-        const auto worthwhile = std::chrono::duration_cast<time_span>(subject.route.latencyTarget * acceptedLateness) - (now - subject.arrived);
-        if (wait + times.of(subject.route) > std::min(subject.deadline - now, worthwhile) && wait > time_span::zero()) {
+        if (wait + times.of(subject.route) > usefulTime(subject, acceptedLateness, now) && wait > time_span::zero()) {
             refuse(subject, result_code::deadline_unreachable, std::clamp(wait, shortRetryAfter, longestRetryAfter), now);
             return;
         }
@@ -262,6 +426,7 @@
         waiting_request &subject = *requests.at(found->second);
         attempts.erase(found);
         const endpoint_life endpoint = subject.endpoint;
+        returnPermit(subject, permitResult(reply), now);
         noteReply(subject, reply, now);
         settleReply(subject, std::move(reply), now);
         pump(detail::pool_key(endpoint), now);
@@ -334,14 +499,15 @@
         // What was never sent costs no endpoint anything, so that it needs no allowance.
         const bool repeat = reply.sent ? hasTimeFor(subject, now) && allowance(subject.service).spend(now) : hasTimeFor(subject, now);
         logAttempt(subject, reply, repeat ? "repeat" : "give_up", now);
+        const bool hadRoom = refusedWithRoom(reply);
         if (!repeat) {
-            refuse(subject, result_code::refused_by_server, usualRetryAfter, now);
+            refuse(subject, result_code::refused_by_server, hadRoom ? shortRetryAfter : usualRetryAfter, now);
             return;
         }
         if (reply.misdirected && subject.byKey) {
             // The endpoint no longer holds the key: the record that says who does is on its way.
             subject.retryAt = now + fullRetryDelay;
-        } else if (subject.byKey) {
+        } else if (subject.byKey && !hadRoom) {
             subject.retryAt = now + (reply.sent ? fullRetryDelay : fullRetryDelay / 2);
         } else {
             place(subject, now);
@@ -366,7 +532,7 @@
     void expire(waiting_request &subject, monotonic_time now)
     {
         if (subject.state == request_state::in_flight) {
-            abandon(subject);
+            abandon(subject, now);
             gateway_answer answer;
             answer.code = result_code::deadline_while_running;
             finish(subject, std::move(answer), now);
@@ -402,6 +568,7 @@
                   { "held_ms", milliseconds(now - subject.arrived) },
                   { "config", routes ? std::to_string(routes->version()) : "" } });
         }
+        withdraw(subject, now);
         const auto answerFunction = std::move(subject.answer);
         remove(subject);
         answerFunction(std::move(answer));
@@ -430,8 +597,9 @@
         const bool inFlight = subject.state == request_state::in_flight;
         const endpoint_life endpoint = subject.endpoint;
         if (inFlight) {
-            abandon(subject);
+            abandon(subject, now);
         }
+        withdraw(subject, now);
         remove(subject);
         if (inFlight) {
             pumpAfter(endpoint, now);
@@ -439,12 +607,13 @@
     }
 
     /** Gives up the attempt that is under way. */
-    void abandon(waiting_request &subject)
+    void abandon(waiting_request &subject, monotonic_time now)
     {
+        returnPermit(subject, {}, now);
         attempts.erase(subject.attempt);
         port.abort(subject.attempt);
         if (detail::gate_entry *gate = gateOf(subject.endpoint)) {
-            gate->gate.aborted();
+            gate->gate.aborted({}, {});
         }
     }
 
@@ -507,10 +676,23 @@
                 }
             }
         }
+        for (const auto &[permit, id] : asking) {
+            const waiting_request &subject = *requests.at(id);
+            if (subject.byKey) {
+                const key_owner owner = ownership.find(subject.service, *subject.request.key);
+                const detail::gate_entry *gate = owner.settled ? gateOf(owner.owner) : nullptr;
+                if (gate == nullptr || !(owner.owner == subject.askedOwner) || !mayUse(*gate, now)) {
+                    waiting.push_back(id);
+                }
+            }
+        }
         for (const gateway_request_id &id : waiting) {
             // Placing one request can send others of the same queue.
             const auto found = requests.find(id);
-            if (found != requests.end() && (found->second->state == request_state::parked || found->second->state == request_state::queued)) {
+            const bool waits = found != requests.end()
+                && (found->second->state == request_state::parked || found->second->state == request_state::queued
+                    || found->second->state == request_state::asking);
+            if (waits) {
                 place(*found->second, now);
             }
         }
@@ -531,6 +713,32 @@
 
 gateway::~gateway() = default;
 
+void gateway::setPermits(permit_source &source)
+{
+    d->permits = &source;
+}
+
+void gateway::permitGranted(permit_id permit, const endpoint_id &endpoint, std::uint64_t startedAtMs, monotonic_time now)
+{
+    d->permitGranted(permit, { endpoint, startedAtMs, {} }, now);
+}
+
+void gateway::permitRefused(permit_id permit, time_span retryAfter, monotonic_time now)
+{
+    d->permitRefused(permit, retryAfter, now);
+}
+
+void gateway::permitUnavailable(permit_id permit, monotonic_time now)
+{
+    d->permitUnavailable(permit, now);
+}
+
+void gateway::setInstances(std::uint32_t count)
+{
+    d->knownInstances = count;
+    d->setInstances(std::max(d->instances, count));
+}
+
 void gateway::setRoutes(std::shared_ptr<const request_routes> routes, monotonic_time /*now*/)
 {
     d->routes = std::move(routes);
@@ -547,7 +755,7 @@
     d->ownership = ownership;
     d->ownershipSince = now;
     for (const auto &[service, record] : ownership.records()) {
-        d->setInstances(record.instances);
+        d->setInstances(std::max(record.instances, d->knownInstances));
     }
     d->replaceWaiting(now);
 }
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "directory/endpoint_directory.h"
 #include "directory/request_routes.h"
 #include "gateway/gateway_request.h"
+#include "gateway/permit_source.h"
 #include "gateway/retry_allowance.h"
 #include "key_ownership/key_load.h"
 #include "key_ownership/ownership_view.h"
@@ -48,6 +49,8 @@
     time_span drainTime = std::chrono::milliseconds(1300);
     /** Requests that wait at one time; beyond it new ones are refused. */
     std::size_t mostWaiting = 4096;
+    /** Ids of permits start above this number. It differs between the processes of an instance, whose keepers still know those of an earlier one. */
+    std::uint64_t firstPermit = 0;
 };
 
 /** A decision that touched a request, for the event log. */
@@ -66,6 +69,12 @@
     gateway(const gateway &) = delete;
     gateway &operator=(const gateway &) = delete;
 
+    /** Requests are sent with permits of @p source wherever it is used. Call it before the first submit(). */
+    void setPermits(permit_source &source);
+
+    /** Sets how many instances share the allowance for repeats, at least. */
+    void setInstances(std::uint32_t count);
+
     void setRoutes(std::shared_ptr<const request_routes> routes, monotonic_time now);
     void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now);
     void setOwnership(const ownership_view &ownership, monotonic_time now);
@@ -82,6 +91,15 @@
 
     void replied(endpoint_attempt_id attempt, endpoint_reply reply, monotonic_time now);
 
+    /** The request that asked for @p permit may be sent. */
+    void permitGranted(permit_id permit, const endpoint_id &endpoint, std::uint64_t startedAtMs, monotonic_time now);
+
+    /** The request that asked for @p permit cannot be answered in time. */
+    void permitRefused(permit_id permit, time_span retryAfter, monotonic_time now);
+
+    /** Nobody decides about @p permit, so that the request is sent without. */
+    void permitUnavailable(permit_id permit, monotonic_time now);
+
     /** Does what is due. Call it at nextDue(). */
     void advance(monotonic_time now);
 
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -57,6 +57,13 @@
     http_response response;
 };
 
+/** True if the endpoint refused the request although it reports free worker slots. Thread-safe. */
+inline bool refusedWithRoom(const endpoint_reply &reply) noexcept
+{
+    return reply.kind == reply_kind::not_run && reply.sent && !reply.misdirected && reply.load
+        && reply.load->running + reply.load->waiting < reply.load->workerSlots;
+}
+
 /** What a caller gets: an endpoint's answer, or an answer of our own. */
 struct gateway_answer {
     /** Set if an endpoint answered. */
--- a/libs/gateway/usual_times.cpp
+++ b/libs/gateway/usual_times.cpp
@@ -1,5 +1,7 @@
 #include "gateway/usual_times.h"
 
+#include <algorithm>
+
 namespace sycamoretray
 {
 
@@ -15,15 +17,14 @@
 time_span usual_times::of(const request_route &route) const
 {
     const auto found = m_times.find(route.name);
-    return found == m_times.end() ? route.latencyTarget / targetParts : found->second;
+    return found == m_times.end() ? route.latencyTarget / targetParts : found->second.time;
 }
 
 void usual_times::answered(const std::string &route, time_span taken)
 {
-    const auto [position, inserted] = m_times.try_emplace(route, taken);
-    if (!inserted) {
-        position->second += (taken - position->second) / averagedAnswers;
-    }
+    average &known = m_times[route];
+    known.answers = std::min(known.answers + 1, averagedAnswers);
+    known.time += (taken - known.time) / known.answers;
 }
 
 } // namespace sycamoretray
--- a/libs/gateway/usual_times.h
+++ b/libs/gateway/usual_times.h
@@ -23,7 +23,11 @@
     void answered(const std::string &route, time_span taken);
 
 private:
-    std::map<std::string, time_span> m_times;
+    struct average {
+        time_span time{};
+        int answers = 0;
+    };
+    std::map<std::string, average> m_times;
 };
 
 } // namespace sycamoretray
--- /dev/null
+++ b/libs/permits/keeper_ranking.cpp
@@ -0,0 +1,91 @@
+#include "permits/keeper_ranking.h"
+
+#include "documents/cbor.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+double score(const keeper_candidate &candidate, std::string_view name)
+{
+    const std::string &address = candidate.address.value();
+    const std::uint64_t hash = XXH64(name.data(), name.size(), XXH64(address.data(), address.size(), 0));
+    constexpr double range = 18446744073709551616.0;
+    const double uniform = (static_cast<double>(hash) + 0.5) / range;
+    return -candidate.weight / std::log(uniform);
+}
+
+void addScores(std::vector<std::pair<double, const keeper_candidate *>> &scores, const std::vector<keeper_candidate> &candidates, std::string_view name)
+{
+    for (const keeper_candidate &each : candidates) {
+        scores.emplace_back(score(each, name), &each);
+    }
+}
+
+} // namespace
+
+std::size_t candidateCount(const keeper_candidates &candidates) noexcept
+{
+    std::size_t count = 0;
+    for (const auto &[zone, each] : candidates) {
+        count += each.size();
+    }
+    return count;
+}
+
+std::vector<network_address> rankKeepers(const keeper_candidates &candidates, const availability_zone &zone, std::string_view name, std::size_t most)
+{
+    std::vector<std::pair<double, const keeper_candidate *>> scores;
+    const auto own = candidates.find(zone);
+    if (own != candidates.end() && !own->second.empty()) {
+        addScores(scores, own->second, name);
+    } else {
+        for (const auto &[other, each] : candidates) {
+            addScores(scores, each, name);
+        }
+    }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(most, scores.size()));
+    std::partial_sort(scores.begin(), scores.begin() + count, scores.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first : left.second->address < right.second->address;
+    });
+    std::vector<network_address> result;
+    for (auto each = scores.begin(); each != scores.begin() + count; ++each) {
+        result.push_back(each->second->address);
+    }
+    return result;
+}
+
+std::string encodeCandidates(const std::vector<keeper_candidate> &candidates)
+{
+    json rows = json::array();
+    for (const keeper_candidate &each : candidates) {
+        rows.push_back(json::array({ each.address.value(), each.weight }));
+    }
+    return encodeCbor(rows);
+}
+
+std::vector<keeper_candidate> decodeCandidates(std::string_view data)
+{
+    try {
+        std::vector<keeper_candidate> result;
+        for (const json &row : decodeCbor(data)) {
+            result.push_back({ network_address(row.at(0).get<std::string>()), row.at(1).get<double>() });
+        }
+        return result;
+    } catch (const json::exception &) {
+        return {};
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/permits/permit_keeper.cpp
@@ -0,0 +1,197 @@
+#include "permits/permit_keeper.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace sycamoretray
+{
+
+permit_pool_name::permit_pool_name(const permit_request &request)
+    : owner(request.owner)
+    , service(request.service)
+    , zone(request.owner ? availability_zone() : request.zone)
+{
+}
+
+std::string permit_pool_name::text() const
+{
+    return owner ? "endpoint/" + owner->endpoint.value() : "service/" + service.value() + "/" + zone.value();
+}
+
+bool operator<(const permit_pool_name &left, const permit_pool_name &right) noexcept
+{
+    return std::tie(left.owner, left.service, left.zone) < std::tie(right.owner, right.service, right.zone);
+}
+
+permit_keeper::permit_keeper(permit_port &port)
+    : m_port(port)
+{
+}
+
+void permit_keeper::setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now)
+{
+    m_endpoints = endpoints;
+    std::vector<permit_pool_name> names;
+    for (auto &[name, pool] : m_pools) {
+        fill(name, pool);
+        names.push_back(name);
+    }
+    for (const permit_pool_name &name : names) {
+        decide(name, now);
+    }
+    forgetEnded();
+}
+
+void permit_keeper::forgetEnded()
+{
+    std::erase_if(m_holders, [&](const auto &item) {
+        return !m_pools.at(item.second).knows(item.first);
+    });
+    std::erase_if(m_pools, [](const auto &item) {
+        return item.second.isIdle() && !item.second.hasEndpoints();
+    });
+}
+
+void permit_keeper::fill(const permit_pool_name &name, permit_pool &pool) const
+{
+    std::vector<listed_endpoint> members;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        const bool member = name.owner ? endpoint.entry.life == *name.owner : endpoint.entry.service == name.service && endpoint.entry.zone == name.zone;
+        if (member) {
+            members.push_back(endpoint);
+        }
+    }
+    pool.setEndpoints(name.owner ? members : usableForNewWork(members));
+}
+
+permit_pool *permit_keeper::poolOf(const permit_pool_name &name)
+{
+    auto found = m_pools.find(name);
+    if (found == m_pools.end()) {
+        found = m_pools.try_emplace(name).first;
+        fill(name, found->second);
+    }
+    return found->second.hasEndpoints() ? &found->second : nullptr;
+}
+
+void permit_keeper::received(const network_address &from, const permit_message &message, monotonic_time now)
+{
+    if (const auto *ask = std::get_if<permit_ask>(&message)) {
+        asked(from, ask->request, now);
+    } else if (const auto *back = std::get_if<permit_return>(&message)) {
+        returned(from, *back, now);
+    }
+}
+
+void permit_keeper::asked(const network_address &from, const permit_request &request, monotonic_time now)
+{
+    const permit_holder holder{ from, request.id };
+    const permit_pool_name name(request);
+    if (const auto known = m_holders.find(holder); known != m_holders.end()) {
+        permit_pool &pool = m_pools.at(known->second);
+        // The answer to the first question was lost, or the instance says that it still waits.
+        if (const auto endpoint = pool.granted(holder)) {
+            m_port.send(from, permit_grant{ request.id, endpoint->endpoint, endpoint->startedAtMs });
+            return;
+        }
+        if (pool.refresh(holder, now)) {
+            m_port.send(from, permit_queued{ request.id });
+            return;
+        }
+        m_holders.erase(known);
+    }
+    permit_pool *pool = m_resigned ? nullptr : poolOf(name);
+    if (pool == nullptr) {
+        m_port.send(from, permit_unavailable{ request.id, m_resigned });
+        return;
+    }
+    pool->ask(holder, request, now);
+    m_holders.emplace(holder, name);
+    decide(name, now);
+    if (m_holders.contains(holder) && !pool->granted(holder)) {
+        m_port.send(from, permit_queued{ request.id });
+    }
+}
+
+void permit_keeper::returned(const network_address &from, const permit_return &message, monotonic_time now)
+{
+    m_port.send(from, permit_returned{ message.id });
+    const permit_holder holder{ from, message.id };
+    const auto known = m_holders.find(holder);
+    if (known == m_holders.end()) {
+        return;
+    }
+    const permit_pool_name name = known->second;
+    m_holders.erase(known);
+    m_pools.at(name).giveBack(holder, message.result, now);
+    decide(name, now);
+}
+
+void permit_keeper::decide(const permit_pool_name &name, monotonic_time now)
+{
+    permit_pool &pool = m_pools.at(name);
+    for (const permit_decision &decision : pool.decide(now)) {
+        if (const auto *granted = std::get_if<granted_permit>(&decision)) {
+            m_port.send(granted->holder.instance, permit_grant{ granted->holder.id, granted->endpoint.endpoint, granted->endpoint.startedAtMs });
+        } else {
+            const auto &refused = std::get<refused_permit>(decision);
+            m_holders.erase(refused.holder);
+            m_port.send(refused.holder.instance, permit_refusal{ refused.holder.id, refused.retryAfter });
+        }
+    }
+}
+
+void permit_keeper::resign(monotonic_time /*now*/)
+{
+    m_resigned = true;
+    for (auto &[name, pool] : m_pools) {
+        for (const permit_holder &holder : pool.takeWaiting()) {
+            m_holders.erase(holder);
+            m_port.send(holder.instance, permit_unavailable{ holder.id, true });
+        }
+    }
+}
+
+void permit_keeper::advance(monotonic_time now)
+{
+    std::vector<permit_pool_name> due;
+    for (const auto &[name, pool] : m_pools) {
+        if (pool.nextDue(now) <= now || pool.waiting() > 0) {
+            due.push_back(name);
+        }
+    }
+    for (const permit_pool_name &name : due) {
+        decide(name, now);
+    }
+    forgetEnded();
+}
+
+monotonic_time permit_keeper::nextDue(monotonic_time now) const
+{
+    monotonic_time next = monotonic_time::max();
+    for (const auto &[name, pool] : m_pools) {
+        next = std::min(next, pool.nextDue(now));
+    }
+    return next;
+}
+
+std::size_t permit_keeper::waiting() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto &[name, pool] : m_pools) {
+        count += pool.waiting();
+    }
+    return count;
+}
+
+std::size_t permit_keeper::inUse() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto &[name, pool] : m_pools) {
+        count += pool.inUse();
+    }
+    return count;
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/permits/permit_message.cpp
@@ -0,0 +1,182 @@
+#include "permits/permit_message.h"
+
+#include "documents/cbor.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// First element of a message, which is an array. Numbers are never reused.
+enum class message_kind {
+    ask = 1,
+    returning = 2,
+    grant = 3,
+    queued = 4,
+    refusal = 5,
+    unavailable = 6,
+    returned = 7,
+};
+
+json head(message_kind kind, permit_id id)
+{
+    return json::array({ static_cast<int>(kind), id.value() });
+}
+
+json encode(const permit_ask &message)
+{
+    const permit_request &request = message.request;
+    json result = head(message_kind::ask, request.id);
+    result.push_back(request.service.value());
+    result.push_back(request.zone.value());
+    result.push_back(request.owner ? json::array({ request.owner->endpoint.value(), request.owner->startedAtMs }) : json());
+    result.push_back(request.key ? json(request.key->value()) : json());
+    result.push_back(request.priority);
+    result.push_back(request.usual.count());
+    result.push_back(request.useful.count());
+    json tried = json::array();
+    for (const endpoint_id &endpoint : request.tried) {
+        tried.push_back(endpoint.value());
+    }
+    result.push_back(std::move(tried));
+    return result;
+}
+
+json encode(const permit_return &message)
+{
+    const permit_result &result = message.result;
+    json encoded = head(message_kind::returning, message.id);
+    encoded.push_back(result.finished);
+    encoded.push_back(static_cast<int>(result.kind));
+    encoded.push_back(result.sent);
+    encoded.push_back(result.misdirected);
+    encoded.push_back(result.status);
+    encoded.push_back(result.load ? json::array({ result.load->running, result.load->waiting, result.load->workerSlots }) : json());
+    return encoded;
+}
+
+json encode(const permit_grant &message)
+{
+    json result = head(message_kind::grant, message.id);
+    result.push_back(message.endpoint.value());
+    result.push_back(message.startedAtMs);
+    return result;
+}
+
+json encode(const permit_queued &message)
+{
+    return head(message_kind::queued, message.id);
+}
+
+json encode(const permit_refusal &message)
+{
+    json result = head(message_kind::refusal, message.id);
+    result.push_back(message.retryAfter.count());
+    return result;
+}
+
+json encode(const permit_unavailable &message)
+{
+    json result = head(message_kind::unavailable, message.id);
+    result.push_back(message.stopping);
+    return result;
+}
+
+json encode(const permit_returned &message)
+{
+    return head(message_kind::returned, message.id);
+}
+
+permit_ask decodeAsk(permit_id id, const json &message)
+{
+    permit_request request;
+    request.id = id;
+    request.service = service_id(message.at(2).get<std::string>());
+    request.zone = availability_zone(message.at(3).get<std::string>());
+    if (const json &owner = message.at(4); !owner.is_null()) {
+        request.owner = endpoint_life{ endpoint_id(owner.at(0).get<std::string>()), owner.at(1).get<std::uint64_t>(), {} };
+    }
+    if (const json &key = message.at(5); !key.is_null()) {
+        request.key = key_number(key.get<std::uint16_t>());
+    }
+    request.priority = message.at(6).get<std::uint32_t>();
+    request.usual = time_span(message.at(7).get<std::int64_t>());
+    request.useful = time_span(message.at(8).get<std::int64_t>());
+    for (const json &endpoint : message.at(9)) {
+        request.tried.emplace_back(endpoint.get<std::string>());
+    }
+    return { request };
+}
+
+reply_kind decodeKind(int number)
+{
+    const auto kind = static_cast<reply_kind>(number);
+    if (kind != reply_kind::answered && kind != reply_kind::not_run && kind != reply_kind::failed) {
+        throw json::other_error::create(501, "unknown reply kind", nullptr);
+    }
+    return kind;
+}
+
+permit_return decodeReturn(permit_id id, const json &message)
+{
+    permit_return result;
+    result.id = id;
+    result.result.finished = message.at(2).get<bool>();
+    result.result.kind = decodeKind(message.at(3).get<int>());
+    result.result.sent = message.at(4).get<bool>();
+    result.result.misdirected = message.at(5).get<bool>();
+    result.result.status = message.at(6).get<std::uint32_t>();
+    if (const json &load = message.at(7); !load.is_null()) {
+        result.result.load = endpoint_load{ load.at(0).get<std::uint32_t>(), load.at(1).get<std::uint32_t>(), load.at(2).get<std::uint32_t>() };
+    }
+    return result;
+}
+
+std::optional<permit_message> decode(const json &message)
+{
+    const permit_id id(message.at(1).get<std::uint64_t>());
+    switch (static_cast<message_kind>(message.at(0).get<int>())) {
+    case message_kind::ask:
+        return decodeAsk(id, message);
+    case message_kind::returning:
+        return decodeReturn(id, message);
+    case message_kind::grant:
+        return permit_grant{ id, endpoint_id(message.at(2).get<std::string>()), message.at(3).get<std::uint64_t>() };
+    case message_kind::queued:
+        return permit_queued{ id };
+    case message_kind::refusal:
+        return permit_refusal{ id, time_span(message.at(2).get<std::int64_t>()) };
+    case message_kind::unavailable:
+        return permit_unavailable{ id, message.at(2).get<bool>() };
+    case message_kind::returned:
+        return permit_returned{ id };
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodePermitMessage(const permit_message &message)
+{
+    return encodeCbor(std::visit(
+        [](const auto &each) {
+            return encode(each);
+        },
+        message));
+}
+
+std::optional<permit_message> decodePermitMessage(std::string_view data)
+{
+    try {
+        return decode(decodeCbor(data));
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/tests/integration/endpoint_faults_test.py
@@ -0,0 +1,267 @@
+"""What went wrong for operators of similar systems, provoked on real sockets. Each test is named after the fault."""
+import http.client
+import os
+import signal
+import socket
+import threading
+import time
+import unittest
+import uuid
+
+import gateway_test
+from gateway_test import Gateway
+from platform_standin import Endpoint
+from processes import free_address, wait_until
+
+TIME_LIMIT_S = 2.0  # TimeoutMs of the routes in platform_standin.configuration()
+GRACE_S = 1.0
+
+
+class FaultyEndpoint(Endpoint):
+    """An endpoint whose `fault`, if set, writes the answer to a request itself."""
+
+    fault = None
+
+    def run(self, request, body):
+        if self.fault is None:
+            super().run(request, body)
+            return
+        self.runs.append((request.headers["Attempt-Id"], request.command, request.path, body))
+        try:
+            self.fault(request)
+        except OSError:
+            request.close_connection = True
+
+    def head(self, request, *fields, attempt=None):
+        identity = [f"Attempt-Id: {attempt or request.headers['Attempt-Id']}", f"Response-Signature: proof-{self.name}", "Instance-Load: 0,0,2"]
+        return ("HTTP/1.1 200 OK\r\n" + "\r\n".join([*identity, *fields]) + "\r\n\r\n").encode()
+
+
+def resident_mb(process):
+    with open(f"/proc/{process.child.pid}/status", encoding="utf-8") as status:
+        return int(next(line for line in status if line.startswith("VmRSS")).split()[1]) / 1024
+
+
+class EndpointFaultsTest(unittest.TestCase):
+    """One endpoint of an undivided service misbehaves, so that every request for it meets the fault."""
+
+    def setUp(self):
+        gateway_test.GatewayTest.setUp(self)
+        for endpoint in self.ledger:
+            endpoint.unregister()
+            endpoint.close()
+        self.faulty = FaultyEndpoint(self.store, "ledger-f", "ledger", free_address(), divided=False)
+        self.ledger = [self.faulty]
+        wait_until("the faulty endpoint", lambda: self.gateways[0].call("/credit/", "POST", body=b"1")[0] == 200, 5)
+
+    tearDown = gateway_test.GatewayTest.tearDown
+    all_served = gateway_test.GatewayTest.all_served
+    serves = gateway_test.GatewayTest.serves
+    assert_served_for = gateway_test.GatewayTest.assert_served_for
+
+    def test_second_copy_of_an_answer_arrives_late(self):
+        """The copy must not reach the next caller of the connection."""
+
+        def twice(request):
+            answer = self.faulty.head(request, "Content-Length: 36") + str(uuid.uuid4()).encode()
+            request.wfile.write(answer)
+            request.wfile.flush()
+            time.sleep(0.03)
+            request.wfile.write(answer)
+
+        self.faulty.fault = twice
+        for _ in range(20):
+            status, reply, _, attempt = self.gateways[0].call("/credit/", "POST", body=b"1")
+            if status == 200:
+                self.assertEqual(reply["Attempt-Id"], attempt)
+            time.sleep(0.01)
+        self.assertEqual(len({run[0] for run in self.faulty.runs}), len(self.faulty.runs))
+
+    def test_answer_that_breaks_off(self):
+        """An answer that ends early must not look complete to the caller."""
+        shapes = {
+            "length": lambda request: self.faulty.head(request, "Content-Length: 100") + b"half",
+            "chunked": lambda request: self.faulty.head(request, "Transfer-Encoding: chunked") + b"4\r\nhalf\r\n",
+            "head": lambda request: self.faulty.head(request, "Content-Length: 4")[:60],
+        }
+        for name, shape in shapes.items():
+            def broken(request, shape=shape):
+                request.wfile.write(shape(request))
+                request.wfile.flush()
+                request.connection.shutdown(socket.SHUT_RDWR)
+                request.close_connection = True
+
+            self.faulty.fault = broken
+            status, _, text, _ = self.gateways[0].call("/credit/", "POST", body=b"1")
+            self.assertNotEqual(status, 200, (name, text))
+            self.assertNotIn(status, (408, 421, 429, 503), name)
+
+    def test_reset_ends_an_answer_without_length(self):
+        """An answer that ends with its connection is complete only if the connection ends in order."""
+
+        def reset(request):
+            request.wfile.write(self.faulty.head(request, "Connection: close") + b"half")
+            request.wfile.flush()
+            time.sleep(0.05)
+            request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+            request.connection.close()
+            request.close_connection = True
+
+        self.faulty.fault = reset
+        status, _, text, _ = self.gateways[0].call("/credit/", "POST", body=b"1")
+        self.assertNotEqual(status, 200, text)
+
+    def test_bytes_without_end(self):
+        """Memory stays bounded, the request ends in its time, and other requests are served meanwhile."""
+        block = b"x" * 65536
+        streams = {
+            "head": lambda request: b"HTTP/1.1 200 OK\r\nField: ",
+            "body": lambda request: self.faulty.head(request, "Connection: close"),
+            "chunk": lambda request: self.faulty.head(request, "Transfer-Encoding: chunked") + b"5;ext=",
+        }
+        process = self.gateways[0].process
+        for name, start in streams.items():
+            def endless(request, start=start):
+                request.wfile.write(start(request))
+                end = time.monotonic() + 10
+                while time.monotonic() < end:
+                    request.wfile.write(block)
+                request.close_connection = True
+
+            self.faulty.fault = endless
+            before = resident_mb(process)
+            ends = []
+
+            def ask():
+                started = time.monotonic()
+                status = self.gateways[0].call("/credit/", "POST", body=b"1")[0]
+                ends.append((status, time.monotonic() - started))
+
+            threads = [threading.Thread(target=ask) for _ in range(12)]
+            for thread in threads:
+                thread.start()
+            self.assertEqual(self.gateways[0].call("/look/", key=5)[0], 200, name)
+            largest = before
+            while any(thread.is_alive() for thread in threads):
+                largest = max(largest, resident_mb(process))
+                time.sleep(0.01)
+            # A quarter of the 512 MB that a process has by default may hold what is being received, plus what is in sockets and copies.
+            self.assertLess(largest - before, 160, name)
+            for status, taken in ends:
+                self.assertNotEqual(status, 200, name)
+                self.assertLess(taken, TIME_LIMIT_S + GRACE_S, name)
+            self.assertTrue(process.running(), name)
+
+    def test_planned_stop_under_load(self):
+        """Requests that have just been accepted when a stop comes are answered."""
+        stopping = self.gateways.pop(0)
+        host, port = stopping.caller.split(":")
+        unanswered, answered = [], []
+
+        def load():
+            while True:
+                connection = http.client.HTTPConnection(host, int(port), timeout=5)
+                sent = False
+                try:
+                    connection.connect()
+                    for _ in range(20):
+                        sent = False
+                        fields = {"Host": "site.example", "Attempt-Id": uuid.uuid4().hex, "Deadline-Remaining-Ms": "3000", "Shard-Key": "9"}
+                        connection.request("GET", "/look/x", headers=fields)
+                        sent = True
+                        reply = connection.getresponse()
+                        reply.read()
+                        answered.append(reply.status)
+                        if reply.getheader("Connection") == "close":
+                            break
+                except http.client.RemoteDisconnected:
+                    # A request that crosses the close of an idle connection was not read.
+                    pass
+                except OSError as error:
+                    if not sent:
+                        return
+                    unanswered.append(repr(error))
+                finally:
+                    connection.close()
+
+        threads = [threading.Thread(target=load) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        os.kill(stopping.process.child.pid, signal.SIGTERM)
+        for thread in threads:
+            thread.join(10)
+        self.assertEqual(unanswered, [])
+        self.assertGreater(answered.count(200), 50)
+        wait_until("end of the process", lambda: not stopping.process.running(), 8)
+        self.assertEqual(stopping.process.child.returncode, 0)
+
+    def test_restart_does_not_bring_back_what_left(self):
+        """After all instances are killed and started, an endpoint that left and a key that was moved are not used again."""
+        left = self.endpoints.pop(0)
+        left.register("draining")
+        wait_until("move of the keys", lambda: left.held_count() == 0, 5)
+        left.unregister()
+        for gateway in self.gateways:
+            os.kill(gateway.process.child.pid, signal.SIGKILL)
+            gateway.process.child.wait(5)
+        runs = len(left.runs)
+        for gateway in self.gateways:
+            gateway.process.start()
+        for gateway in self.gateways:
+            wait_until("readiness", gateway.ready, 10)
+        wait_until("owners of all keys", self.all_served, 15)
+        self.assert_served_for(1)
+        self.assertEqual(len(left.runs), runs)
+        self.assertEqual(left.held_count(), 0)
+
+    def test_instance_is_only_silent_for_a_while(self):
+        """Work of an instance that stands still and goes on is neither started again elsewhere nor given up."""
+        def slow(request):
+            time.sleep(1)
+            request.wfile.write(self.faulty.head(request, "Content-Length: 4") + b"done")
+
+        self.faulty.fault = slow
+        runs = len(self.faulty.runs)
+        results = []
+        thread = threading.Thread(target=lambda: results.append(self.gateways[0].call("/credit/", "POST", body=b"1")[0]))
+        thread.start()
+        wait_until("the run", lambda: len(self.faulty.runs) > runs, 2)
+        os.kill(self.gateways[0].process.child.pid, signal.SIGSTOP)
+        time.sleep(1.5)
+        os.kill(self.gateways[0].process.child.pid, signal.SIGCONT)
+        thread.join(5)
+        # The answer was there when the process went on; the time limit had not passed before that.
+        self.assertEqual(results, [200])
+        self.assertEqual(len(self.faulty.runs), runs + 1)
+
+    def test_malformed_messages_on_every_port(self):
+        """One malformed message ends no process."""
+        gateway = self.gateways[0]
+        garbage = [b"\x00\xff" * 500, b"GET / HTTP/9.9\r\n\r\n", b"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", b"\r\n" * 2000, b"p\x9f\xff", b"l\xa1"]
+        for address in (gateway.caller, gateway.readiness, gateway.internal):
+            host, port = address.split(":")
+            for data in garbage:
+                with socket.create_connection((host, int(port)), timeout=2) as connection:
+                    try:
+                        connection.sendall(data)
+                        connection.shutdown(socket.SHUT_WR)
+                        connection.recv(1000)
+                    except OSError:
+                        pass
+        host, port = gateway.internal.split(":")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+            for data in [*garbage, b"", b"p", b"p\x82\x01\x02", b"l\x84"]:
+                datagrams.sendto(data, (host, int(port)))
+        with self.store.changed:
+            for topic in ("keyed.servers", "keyed.op", "keyed.ownership"):
+                for key, value in (("odd", b"\xff\xfe"), ("odd2", b"{}"), ("instances/z1", b"\x01"), ("relay/z9", b""), ("config2", b"[")):
+                    self.store.topic(topic).append(key, value)
+            self.store.changed.notify_all()
+        os.kill(gateway.process.child.pid, signal.SIGHUP)
+        self.assert_served_for(1.5)
+        self.assertTrue(all(each.process.running() for each in self.gateways))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/permits/instance_world.cpp
@@ -0,0 +1,438 @@
+#include "instance_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+constexpr time_span networkDelay = std::chrono::microseconds(600);
+const service_id serviceName("s");
+
+availability_zone zoneName(std::size_t index)
+{
+    return availability_zone("z" + std::to_string(index));
+}
+
+} // namespace
+
+struct instance_world::world_endpoint {
+    struct attempt {
+        std::uint64_t run = 0;
+        std::size_t request = 0;
+        std::size_t instance = 0;
+        endpoint_attempt_id id;
+        bool started = false;
+    };
+    endpoint_life life;
+    availability_zone zone;
+    double slowness = 1;
+    double shedding = 0;
+    std::uint32_t running = 0;
+    std::deque<attempt> queue;
+    std::map<std::uint64_t, attempt> started;
+};
+
+struct instance_world::world_instance : endpoint_port, permit_port {
+    world_instance(instance_world &givenWorld, std::size_t givenIndex)
+        : world(givenWorld)
+        , index(givenIndex)
+        , address("10.0." + std::to_string(givenIndex / 250) + "." + std::to_string(givenIndex % 250) + ":7700")
+        , zone(zoneName(givenIndex % givenWorld.m_settings.zones))
+        , keeper(*this)
+        , client({ [this](const endpoint_life &life) {
+                     return zoneOf(life);
+                 } },
+                 *this,
+                 observer())
+    {
+        gateway_settings settings;
+        settings.instance = instance_id("i" + std::to_string(index));
+        settings.zone = zone;
+        router = std::make_unique<gateway>(settings, *this, [](std::string_view, const auto &) {});
+        router->setPermits(client);
+    }
+
+    instance_world &world;
+    std::size_t index;
+    network_address address;
+    availability_zone zone;
+    bool up = true;
+    monotonic_time wakeAt = monotonic_time::max();
+    permit_keeper keeper;
+    permit_client client;
+    std::unique_ptr<gateway> router;
+
+    std::optional<availability_zone> zoneOf(const endpoint_life &life) const
+    {
+        for (const auto &endpoint : world.m_endpoints) {
+            if (endpoint->life == life) {
+                return endpoint->zone;
+            }
+        }
+        return std::nullopt;
+    }
+
+    permit_observer observer()
+    {
+        permit_observer result;
+        result.granted = [this](permit_id permit, const endpoint_id &endpoint, std::uint64_t startedAtMs, monotonic_time now) {
+            router->permitGranted(permit, endpoint, startedAtMs, now);
+        };
+        result.refused = [this](permit_id permit, time_span retryAfter, monotonic_time now) {
+            router->permitRefused(permit, retryAfter, now);
+        };
+        result.unavailable = [this](permit_id permit, monotonic_time now) {
+            router->permitUnavailable(permit, now);
+        };
+        return result;
+    }
+
+    void send(const network_address &to, const permit_message &message) override
+    {
+        const std::size_t target = world.m_addresses.at(to);
+        if (std::uniform_real_distribution<double>(0, 1)(world.m_random) < world.m_settings.lostMessages) {
+            return;
+        }
+        world.at(world.m_now + networkDelay, [this, target, data = encodePermitMessage(message)] {
+            world_instance &receiver = *world.m_instances[target];
+            const auto decoded = decodePermitMessage(data);
+            if (receiver.up && decoded) {
+                receiver.keeper.received(address, *decoded, world.m_now);
+                receiver.client.received(address, *decoded, world.m_now);
+                world.wake(target);
+            }
+        });
+    }
+
+    void send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span /*timeLeft*/) override
+    {
+        const auto found = std::find_if(world.m_endpoints.begin(), world.m_endpoints.end(), [&](const auto &each) {
+            return each->life == endpoint.life;
+        });
+        const auto target = static_cast<std::size_t>(found - world.m_endpoints.begin());
+        world.at(world.m_now + networkDelay, [this, attempt, target, number = std::stoul(request.id.value())] {
+            world.arrive(number, index, attempt, target);
+        });
+    }
+
+    void abort(endpoint_attempt_id attempt) override
+    {
+        world.at(world.m_now + networkDelay, [this, attempt] {
+            world.abort(index, attempt);
+        });
+    }
+};
+
+instance_world::instance_world(world_settings settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+{
+    drawKey = [](std::mt19937_64 &random) {
+        return static_cast<std::uint16_t>(std::uniform_int_distribution<std::uint32_t>(0, keyCount - 1)(random));
+    };
+    drawPriority = [](std::mt19937_64 & /*random*/) {
+        return 0U;
+    };
+    for (std::size_t i = 0; i < settings.endpoints; ++i) {
+        auto endpoint = std::make_unique<world_endpoint>();
+        endpoint->life = { endpoint_id("e" + std::to_string(i)), 1, network_address("10.1.0." + std::to_string(i) + ":80") };
+        endpoint->zone = zoneName(i % settings.zones);
+        m_endpoints.push_back(std::move(endpoint));
+    }
+    for (std::size_t i = 0; i < settings.instances; ++i) {
+        m_instances.push_back(std::make_unique<world_instance>(*this, i));
+        const world_instance &instance = *m_instances.back();
+        m_addresses[instance.address] = i;
+        m_candidates[instance.zone].push_back({ instance.address, 1 });
+    }
+    for (const auto &instance : m_instances) {
+        publish(*instance);
+    }
+}
+
+instance_world::~instance_world() = default;
+
+void instance_world::publish(world_instance &instance)
+{
+    std::vector<request_route> routes;
+    for (std::uint32_t priority = 0; priority < 3; ++priority) {
+        request_route route;
+        route.name = "r" + std::to_string(priority);
+        route.host = "h";
+        route.pathPrefix = "/p" + std::to_string(priority) + "/";
+        route.targets = { { serviceName, 1 } };
+        route.timeout = m_settings.timeout;
+        route.latencyTarget = m_settings.latencyTarget;
+        route.priority = priority;
+        routes.push_back(route);
+    }
+    service_definition definition;
+    definition.dividedByKey = m_settings.dividedByKey;
+    instance.router->setRoutes(std::make_shared<const request_routes>(1, routes, std::map<service_id, service_definition>{ { serviceName, definition } }),
+                               m_now);
+    std::map<endpoint_id, listed_endpoint> listed;
+    ownership_record record;
+    record.service = serviceName;
+    record.epoch = 1;
+    record.revision = 1;
+    record.instances = static_cast<std::uint32_t>(m_instances.size());
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        listed_endpoint &each = listed[m_endpoints[i]->life.endpoint];
+        each.entry.life = m_endpoints[i]->life;
+        each.entry.service = serviceName;
+        each.entry.zone = m_endpoints[i]->zone;
+        each.entry.workerSlots = m_settings.slots;
+        const auto first = static_cast<std::uint32_t>(i * keyCount / m_endpoints.size());
+        const auto last = static_cast<std::uint32_t>((i + 1) * keyCount / m_endpoints.size() - 1);
+        record.assignments.push_back({ { first, last }, m_endpoints[i]->life, fencing_token(1), {}, fencing_token(), true, {} });
+    }
+    instance.keeper.setEndpoints(listed, m_now);
+    instance.router->setEndpoints(listed, m_now);
+    ownership_view view;
+    view.apply(record);
+    instance.router->setOwnership(view, m_now);
+    if (m_settings.policy == sending_policy::permits) {
+        instance.client.setCandidates(m_candidates);
+    }
+}
+
+std::size_t instance_world::ownerOf(std::uint16_t key) const
+{
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        if (key < (i + 1) * keyCount / m_endpoints.size()) {
+            return i;
+        }
+    }
+    return m_endpoints.size() - 1;
+}
+
+void instance_world::setSlowness(std::size_t endpoint, double slowness)
+{
+    m_endpoints[endpoint]->slowness = slowness;
+}
+
+void instance_world::setShedding(std::size_t endpoint, double share)
+{
+    m_endpoints[endpoint]->shedding = share;
+}
+
+std::size_t instance_world::keeperOf(std::size_t endpoint) const
+{
+    permit_request question;
+    question.owner = m_endpoints[endpoint]->life;
+    return m_addresses.at(rankKeepers(m_candidates, m_endpoints[endpoint]->zone, permit_pool_name(question).text(), 1).front());
+}
+
+void instance_world::kill(std::size_t instance)
+{
+    m_instances[instance]->up = false;
+    for (world_request &request : m_requests) {
+        request.lost = request.lost || (request.instance == instance && !request.answered);
+    }
+}
+
+void instance_world::resign(std::size_t instance)
+{
+    m_instances[instance]->keeper.resign(m_now);
+    wake(instance);
+}
+
+void instance_world::at(monotonic_time when, std::function<void()> what)
+{
+    m_events.emplace(when, std::move(what));
+}
+
+void instance_world::run(monotonic_time end)
+{
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+        m_now = std::max(m_now, m_events.begin()->first);
+        const auto what = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        what();
+    }
+    m_now = std::max(m_now, end);
+}
+
+void instance_world::wake(std::size_t index)
+{
+    world_instance &instance = *m_instances[index];
+    const monotonic_time due = std::min({ instance.router->nextDue(), instance.client.nextDue(), instance.keeper.nextDue(m_now) });
+    if (due >= instance.wakeAt) {
+        return;
+    }
+    instance.wakeAt = due;
+    at(std::max(due, m_now), [this, index, due] {
+        world_instance &subject = *m_instances[index];
+        if (subject.wakeAt != due || !subject.up) {
+            return;
+        }
+        subject.wakeAt = monotonic_time::max();
+        subject.router->advance(m_now);
+        subject.client.advance(m_now);
+        subject.keeper.advance(m_now);
+        wake(index);
+    });
+}
+
+void instance_world::submit()
+{
+    std::size_t index = std::uniform_int_distribution<std::size_t>(0, m_instances.size() - 1)(m_random);
+    while (!m_instances[index]->up) {
+        index = (index + 1) % m_instances.size();
+    }
+    const std::size_t number = m_requests.size();
+    world_request request;
+    request.key = drawKey(m_random);
+    request.priority = drawPriority(m_random);
+    request.instance = index;
+    request.arrived = m_now;
+    request.work = std::chrono::duration_cast<time_span>(m_settings.work * std::lognormal_distribution<double>(-0.1, 0.45)(m_random));
+    m_requests.push_back(request);
+    gateway_request message;
+    message.id = request_id(std::to_string(number));
+    message.host = "h";
+    message.path = "/p" + std::to_string(request.priority) + "/x";
+    message.key = key_number(request.key);
+    m_instances[index]->router->submit(
+        std::move(message),
+        [this, number](const gateway_answer &answer) {
+            world_request &ended = m_requests[number];
+            ended.answered = true;
+            ended.finished = m_now;
+            ended.status = answer.response ? answer.response->status : 0;
+            ended.code = answer.code;
+        },
+        m_now);
+    wake(index);
+}
+
+void instance_world::play(time_span duration)
+{
+    const monotonic_time end = m_now + duration;
+    while (m_now < end) {
+        const double rate = perSecond(m_now - m_start);
+        const std::chrono::duration<double> gap(std::exponential_distribution<double>(rate)(m_random));
+        run(std::min(end, m_now + std::chrono::duration_cast<time_span>(gap)));
+        if (m_now < end) {
+            submit();
+        }
+    }
+}
+
+void instance_world::settle()
+{
+    run(m_now + m_settings.timeout * 3);
+}
+
+void instance_world::arrive(std::size_t request, std::size_t instance, endpoint_attempt_id attempt, std::size_t index)
+{
+    world_endpoint &endpoint = *m_endpoints[index];
+    const bool sheds = std::uniform_real_distribution<double>(0, 1)(m_random) < endpoint.shedding;
+    if (sheds) {
+        endpoint_reply refused;
+        refused.kind = reply_kind::not_run;
+        refused.code = result_code::refused_by_server;
+        refused.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+        reply(instance, attempt, refused);
+        return;
+    }
+    if (endpoint.running >= m_settings.slots && endpoint.queue.size() >= m_settings.queue) {
+        ++m_overfilled;
+        return;
+    }
+    endpoint.queue.push_back({ ++m_lastRun, request, instance, attempt, false });
+    startNext(index);
+}
+
+void instance_world::startNext(std::size_t index)
+{
+    world_endpoint &endpoint = *m_endpoints[index];
+    while (endpoint.running < m_settings.slots && !endpoint.queue.empty()) {
+        const world_endpoint::attempt next = endpoint.queue.front();
+        endpoint.queue.pop_front();
+        endpoint.started.emplace(next.run, next);
+        ++endpoint.running;
+        ++m_requests[next.request].runs;
+        const auto work = std::chrono::duration_cast<time_span>(m_requests[next.request].work * endpoint.slowness);
+        at(m_now + work, [this, index, run = next.run] {
+            finish(index, run);
+        });
+    }
+}
+
+void instance_world::finish(std::size_t index, std::uint64_t run)
+{
+    world_endpoint &endpoint = *m_endpoints[index];
+    const auto found = endpoint.started.find(run);
+    if (found == endpoint.started.end()) {
+        return;
+    }
+    const world_endpoint::attempt ended = found->second;
+    endpoint.started.erase(found);
+    --endpoint.running;
+    startNext(index);
+    endpoint_reply answer;
+    answer.kind = reply_kind::answered;
+    answer.response.status = 200;
+    answer.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+    reply(ended.instance, ended.id, answer);
+}
+
+void instance_world::reply(std::size_t index, endpoint_attempt_id attempt, const endpoint_reply &answer)
+{
+    at(m_now + networkDelay, [this, index, attempt, answer] {
+        world_instance &instance = *m_instances[index];
+        if (instance.up) {
+            instance.router->replied(attempt, answer, m_now);
+            wake(index);
+        }
+    });
+}
+
+void instance_world::abort(std::size_t instance, endpoint_attempt_id attempt)
+{
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        world_endpoint &endpoint = *m_endpoints[i];
+        const auto isAborted = [&](const world_endpoint::attempt &each) {
+            return each.instance == instance && each.id == attempt;
+        };
+        std::erase_if(endpoint.queue, isAborted);
+        const auto erased = std::erase_if(endpoint.started, [&](const auto &item) {
+            return isAborted(item.second);
+        });
+        endpoint.running -= static_cast<std::uint32_t>(erased);
+        if (erased > 0) {
+            startNext(i);
+        }
+    }
+}
+
+world_result instance_world::result(const std::function<bool(std::uint16_t key, std::uint32_t priority)> &accept) const
+{
+    world_result result;
+    result.overfilled = m_overfilled;
+    for (const world_request &request : m_requests) {
+        if (request.lost || (accept && !accept(request.key, request.priority))) {
+            continue;
+        }
+        ++result.asked;
+        result.ran += request.runs > 0 ? 1 : 0;
+        result.ranTwice += request.runs > 1 ? 1 : 0;
+        const time_span taken = request.finished - request.arrived;
+        if (request.status == 200) {
+            ++(taken <= m_settings.latencyTarget ? result.inTarget : result.late);
+        } else if (!request.answered || outcomeClass(request.code) == request_outcome_class::unknown) {
+            ++result.unknown;
+        } else {
+            ++result.refused;
+            result.longestHeldRefusal = std::max(result.longestHeldRefusal, taken);
+        }
+    }
+    return result;
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/tests/unit/permits/permit_parts_test.cpp
@@ -0,0 +1,184 @@
+#include "permits/instance_census.h"
+#include "permits/keeper_ranking.h"
+#include "permits/permit_message.h"
+#include "permits/permit_queue.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace sycamoretray;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const availability_zone zone("z");
+
+std::vector<keeper_candidate> candidates(std::size_t count)
+{
+    std::vector<keeper_candidate> result;
+    for (std::size_t i = 0; i < count; ++i) {
+        result.push_back({ network_address("10.0.0." + std::to_string(i) + ":1"), i % 2 == 0 ? 0.1 : 0.5 });
+    }
+    return result;
+}
+
+} // namespace
+
+Test(permit_queue, keys_take_turns)
+{
+    permit_queue queue;
+    const queue_ticket hot1 = queue.add(0, key_number(1), 100ms);
+    const queue_ticket hot2 = queue.add(0, key_number(1), 100ms);
+    const queue_ticket hot3 = queue.add(0, key_number(1), 100ms);
+    const queue_ticket other = queue.add(0, key_number(2), 100ms);
+    const queue_ticket urgent = queue.add(0, key_number(3), 10ms);
+    cr_expect_eq(queue.takeFirst(), hot1);
+    cr_expect_eq(queue.takeFirst(), other);
+    cr_expect_eq(queue.takeFirst(), urgent);
+    cr_expect_eq(queue.takeFirst(), hot2);
+    cr_expect_eq(queue.takeFirst(), hot3);
+    cr_expect(queue.empty());
+}
+
+Test(permit_queue, refused_entry_gives_its_turn_back)
+{
+    permit_queue queue;
+    const queue_ticket first = queue.add(0, key_number(1), 100ms);
+    queue.remove(queue.add(0, key_number(1), 100ms));
+    const queue_ticket other = queue.add(0, key_number(2), 100ms);
+    queue.takeFirst();
+    const queue_ticket second = queue.add(0, key_number(1), 100ms);
+    cr_expect(first < other);
+    cr_expect_eq(queue.takeFirst(), other);
+    cr_expect_eq(queue.takeFirst(), second);
+}
+
+Test(permit_queue, urgent_ranks_come_first)
+{
+    permit_queue queue;
+    queue.add(2, std::nullopt, 10ms);
+    const queue_ticket urgent = queue.add(0, std::nullopt, 10ms);
+    cr_expect_eq(*queue.first(), urgent);
+}
+
+// Guards against queues that change their keeper although it lives.
+Test(keeper_ranking, loss_of_an_instance_moves_only_its_queues)
+{
+    const keeper_candidates before{ { zone, candidates(20) } };
+    keeper_candidates after = before;
+    const network_address lost = after[zone][7].address;
+    after[zone].erase(after[zone].begin() + 7);
+    for (int i = 0; i < 500; ++i) {
+        const std::string name = "endpoint/" + std::to_string(i);
+        const auto old = rankKeepers(before, zone, name, 2);
+        const auto now = rankKeepers(after, zone, name, 1);
+        cr_expect_eq(now.front(), old.front() == lost ? old[1] : old.front());
+    }
+}
+
+Test(keeper_ranking, queues_follow_the_weights)
+{
+    const keeper_candidates all{ { zone, candidates(20) } };
+    int heavy = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const auto best = rankKeepers(all, zone, "endpoint/" + std::to_string(i), 1);
+        const auto found = std::find_if(all.at(zone).begin(), all.at(zone).end(), [&](const keeper_candidate &each) {
+            return each.address == best.front();
+        });
+        heavy += found->weight > 0.2 ? 1 : 0;
+    }
+    // Five sixths of the weight; four standard deviations of the count are 67.
+    cr_expect(std::abs(heavy - 1667) < 67, "%d of 2000", heavy);
+}
+
+Test(keeper_ranking, zone_without_instances_is_served_by_others)
+{
+    const keeper_candidates all{ { zone, candidates(3) }, { availability_zone("empty"), {} } };
+    cr_expect_eq(rankKeepers(all, availability_zone("empty"), "x", 5).size(), 3U);
+    cr_expect(rankKeepers({}, zone, "x", 5).empty());
+}
+
+Test(instance_census, publishes_growth_soon_and_losses_late)
+{
+    instance_census census;
+    monotonic_time now(100s);
+    census.start({}, now);
+    for (const keeper_candidate &each : candidates(10)) {
+        census.seen(each.address, each.weight, now);
+    }
+    auto published = census.takeDue({}, now);
+    cr_assert(published && published->size() == 10);
+    cr_expect_not(census.takeDue(*published, now + 1s).has_value(), "nothing changed");
+    now += 2s;
+    for (const keeper_candidate &each : candidates(20)) {
+        census.seen(each.address, each.weight, now);
+    }
+    published = census.takeDue(*published, now);
+    cr_assert(published && published->size() == 20, "twice as many");
+    census.seen(candidates(1).front().address, 0, now);
+    cr_expect_not(census.takeDue(*published, now + 1s).has_value(), "one left; the record is not worth it yet");
+    const auto later = census.takeDue(*published, now + 4500ms);
+    cr_assert(later && later->size() == 19);
+    // The others have been silent since.
+    cr_expect_eq(census.takeDue(*later, now + 9s)->size(), 0U);
+}
+
+// Guards against a new relay that publishes a list of itself only.
+Test(instance_census, new_relay_starts_from_the_published_list)
+{
+    instance_census census;
+    const monotonic_time now(100s);
+    census.start(candidates(20), now);
+    census.seen(candidates(1).front().address, candidates(1).front().weight, now + 1s);
+    cr_expect_not(census.takeDue(candidates(20), now + 1s).has_value());
+}
+
+Test(permit_message, survives_encoding)
+{
+    permit_request request;
+    request.id = permit_id(1ULL << 40);
+    request.service = service_id("s");
+    request.owner = endpoint_life{ endpoint_id("e"), 1234567890123, {} };
+    request.zone = zone;
+    request.key = key_number(65535);
+    request.priority = 2;
+    request.usual = 260ms;
+    request.useful = -5ms;
+    request.tried = { endpoint_id("f"), endpoint_id("g") };
+    const auto decoded = decodePermitMessage(encodePermitMessage(permit_ask{ request }));
+    cr_assert(decoded && std::holds_alternative<permit_ask>(*decoded));
+    const permit_request &read = std::get<permit_ask>(*decoded).request;
+    cr_expect(read.id == request.id && read.service == request.service && *read.owner == *request.owner && read.zone == request.zone);
+    cr_expect(read.key == request.key && read.priority == 2 && read.usual == request.usual && read.useful == request.useful && read.tried == request.tried);
+    const permit_result result{ true, reply_kind::not_run, true, false, 503, endpoint_load{ 1, 2, 3 } };
+    const auto returned = decodePermitMessage(encodePermitMessage(permit_return{ permit_id(7), result }));
+    cr_assert(returned && std::holds_alternative<permit_return>(*returned));
+    cr_expect_eq(std::get<permit_return>(*returned).result.load->waiting, 2U);
+}
+
+// A malformed datagram must not end the process. 20,000 mutations of valid messages, with a fixed seed.
+Test(permit_message, malformed_messages_are_refused)
+{
+    std::mt19937 random(11);
+    const std::vector<permit_message> messages{
+        permit_ask{}, permit_return{}, permit_grant{ permit_id(3), endpoint_id("e"), 4 }, permit_refusal{ permit_id(5), 1s }
+    };
+    for (int i = 0; i < 20000; ++i) {
+        std::string data = encodePermitMessage(messages[random() % messages.size()]);
+        const unsigned changes = 1 + random() % 4;
+        for (unsigned change = 0; change < changes && !data.empty(); ++change) {
+            if (random() % 8 == 0) {
+                data.resize(random() % data.size());
+            } else {
+                data[random() % data.size()] = static_cast<char>(random());
+            }
+        }
+        decodePermitMessage(data);
+        decodeCandidates(data);
+    }
+    cr_expect_not(decodePermitMessage("").has_value());
+    cr_expect_not(decodePermitMessage("\x82\x18\x63\x01").has_value(), "unknown kind");
+}
