--- a/apps/sycamoretrayd/gateway/relayed_store.cpp
+++ b/apps/sycamoretrayd/gateway/relayed_store.cpp
@@ -25,8 +25,8 @@
 constexpr std::uint32_t newRelayMilliseconds = 300;
 // The same for the store, if it failed as well; every call of every instance is paid for.
 constexpr time_span directPause = std::chrono::milliseconds(2000);
-// The same while the relay of the zone answers that the store is lost.
-constexpr time_span refusedDirectPause = std::chrono::seconds(4);
+// Calls without an answer in a row for which the store counts as failed: a connection that went silent fails one call, a new one works.
+constexpr int mostSilentCalls = 2;
 // How often a read waits for the new relay or for the store's answer about it.
 constexpr int mostWaits = 3;
 // Longer than a relay holds a read and its caller waits for it.
@@ -67,8 +67,8 @@
     monotonic_time directPausedUntil{};
     /** Since when the relay has failed. */
     std::optional<monotonic_time> failingSince;
-    /** The relay's last failure was an answer. */
-    bool refused = false;
+    /** Direct reads in a row that got no answer. */
+    int silentCalls = 0;
     /** When the store answered a read of this instance last. */
     std::optional<monotonic_time> directAnsweredAt;
     std::uint64_t lastRead = 0;
@@ -107,8 +107,10 @@
     {
         if (result == store_result::ok || result == store_result::expired) {
             directAnsweredAt = steadyNow();
-        } else if (pool) {
-            directPausedUntil = steadyNow() + (refused ? refusedDirectPause : directPause);
+            silentCalls = 0;
+        } else if (pool && (result != store_result::unknown || ++silentCalls >= mostSilentCalls)) {
+            directPausedUntil = steadyNow() + directPause;
+            silentCalls = 0;
         }
     }
 
@@ -134,8 +136,7 @@
 
     void relayFailed(const std::string &topic, const http_exchange_result &result)
     {
-        refused = result.code == result_code::ok;
-        pausedUntil = steadyNow() + (refused ? refusalPause : relayPause);
+        pausedUntil = steadyNow() + (result.code == result_code::ok ? refusalPause : relayPause);
         if (!failingSince) {
             failingSince = steadyNow();
         }
--- a/libs/gateway/endpoint_gate.cpp
+++ b/libs/gateway/endpoint_gate.cpp
@@ -114,15 +114,30 @@
     return m_inFlight + others;
 }
 
+double endpoint_gate::knownSlowness() const noexcept
+{
+    return m_answered ? m_slowness : untriedSlowness;
+}
+
+double endpoint_gate::coldFactor(monotonic_time now) const noexcept
+{
+    constexpr double whileCold = 2;
+    return now < m_coldUntil ? whileCold : 1;
+}
+
 double endpoint_gate::slowness() const noexcept
 {
-    return (m_answered ? m_slowness : untriedSlowness) / (1 - m_failureShare * failureWeight);
+    return knownSlowness() / (1 - m_failureShare * failureWeight);
+}
+
+double endpoint_gate::runSlowness(monotonic_time now) const noexcept
+{
+    return knownSlowness() * coldFactor(now);
 }
 
 double endpoint_gate::presentSlowness(monotonic_time now) const noexcept
 {
-    constexpr double coldFactor = 2;
-    return slowness() * (now < m_coldUntil ? coldFactor : 1.0);
+    return slowness() * coldFactor(now);
 }
 
 time_span endpoint_gate::expectedTime(time_span usual, monotonic_time now) const noexcept
--- a/libs/gateway/endpoint_gate.h
+++ b/libs/gateway/endpoint_gate.h
@@ -56,6 +56,9 @@
     /** How much longer than usual requests take here, those that have to be repeated included. */
     double slowness() const noexcept;
 
+    /** How much longer than usual a request runs here at present, repeats not included. */
+    double runSlowness(monotonic_time now) const noexcept;
+
     /** As slowness(), with the time that an endpoint stays slow after its start. */
     double presentSlowness(monotonic_time now) const noexcept;
 
@@ -79,6 +82,8 @@
     void aborted(time_span ran, time_span usual);
 
 private:
+    double knownSlowness() const noexcept;
+    double coldFactor(monotonic_time now) const noexcept;
     void countOutcome(bool failure);
     void takeReport(const endpoint_reply &reply, monotonic_time now);
     bool hasFreshReport(monotonic_time now) const noexcept;
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -28,6 +28,10 @@
 // Sending to another zone is worth it if it saves more than this many times the usual time of the request. Latency targets leave
 // about twice the usual time for waiting, and bytes between zones are paid for.
 constexpr double zonePenalty = 1.5;
+// An attempt that is given up after this many usual times shows that its endpoint is slow.
+constexpr int slowAttempt = 2;
+// Wait in the own zone, in usual times, for which a permit of another zone is asked for instead.
+constexpr double zoneWait = 0.3;
 // Other zones that are asked for a permit before the request waits in its own.
 constexpr std::uint32_t otherZonesAsked = 2;
 // A request is refused at once if it is expected to take longer than this part of its latency target.
@@ -189,7 +193,7 @@
             return true;
         }
         question.zone = zones[asked];
-        question.useful = std::min(question.useful, std::chrono::duration_cast<time_span>(question.usual * (1 + zonePenalty)));
+        question.useful = std::min(question.useful, std::chrono::duration_cast<time_span>(question.usual * (1 + zoneWait)));
         return true;
     }
 
@@ -609,6 +613,12 @@
     /** Gives up the attempt that is under way. */
     void abandon(waiting_request &subject, monotonic_time now)
     {
+        const time_span taken = now - subject.sentAt;
+        const time_span usual = times.of(subject.route);
+        if (taken > usual * slowAttempt) {
+            // It would have taken longer still; without this, an endpoint that ends nothing in time would pass for one without requests.
+            work.answered(subject.service, subject.endpoint.endpoint, taken, usual);
+        }
         returnPermit(subject, {}, now);
         attempts.erase(subject.attempt);
         port.abort(subject.attempt);
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -164,14 +164,14 @@
         if (!usable) {
             continue;
         }
+        const double slots = std::max(1U, endpoint.gate.entry().workerSlots);
+        const double queued = std::max(0.0, endpoint.gate.estimatedLoad(now) + 1 - slots);
         const double slow = slowness(endpoint, now);
         // One request at a time shows whether an endpoint has become fast enough again.
-        if (request.usual * slow > request.useful && !endpoint.used.empty()) {
+        if (request.usual * (slow * (1 + queued / slots)) > request.useful && !endpoint.used.empty()) {
             continue;
         }
-        const double slots = std::max(1U, endpoint.gate.entry().workerSlots);
-        const double queued = std::max(0.0, endpoint.gate.estimatedLoad(now) + 1 - slots);
-        double time = slow * (1 + queued / slots);
+        double time = std::max(slow, endpoint.gate.presentSlowness(now)) * (1 + queued / slots);
         if (std::find(request.tried.begin(), request.tried.end(), life.endpoint) != request.tried.end()) {
             time *= triedFactor;
         }
@@ -185,7 +185,8 @@
 
 double permit_pool::slowness(const pool_endpoint &endpoint, monotonic_time now) const
 {
-    double result = endpoint.gate.presentSlowness(now);
+    // Requests that the endpoint fails or refuses on purpose take no time of its worker slots.
+    double result = endpoint.gate.runSlowness(now);
     // If all worker slots have been busy for long, even the newest request bounds the speed from above.
     std::uint32_t slots = endpoint.gate.entry().workerSlots;
     if (endpoint.used.size() < slots) {
--- a/tests/unit/metadata_store/read_spacing_test.cpp
+++ b/tests/unit/metadata_store/read_spacing_test.cpp
@@ -25,12 +25,14 @@
     int reads = 0;
     /** Reads are answered without records. */
     bool silent = false;
+    /** Reads that get no answer, as on connections that went silent. */
+    int unanswered = 0;
 
     std::uint64_t read(const std::string & /*topic*/, log_offset from, time_span /*wait*/, std::function<void(keyed_read)> done) override
     {
         ++reads;
         keyed_read reply;
-        reply.result = store_result::ok;
+        reply.result = unanswered-- > 0 ? store_result::unknown : store_result::ok;
         reply.end = log_offset(static_cast<std::uint64_t>((steadyNow() - m_started) / 10ms));
         reply.next = std::max(from, reply.end);
         if (!silent) {
@@ -117,3 +119,31 @@
     const int reads = readsWithinASecond(false, true);
     cr_expect(reads >= 8, "%d reads", reads);
 }
+
+// Guards against a configuration that is learnt late: the relay is lost, and the first call of the store is made on a connection
+// that went silent. A new connection works, so that the store is asked again at once.
+Test(read_spacing, one_call_without_an_answer_does_not_stop_reading)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    busy_store store(executor);
+    store.unanswered = 1;
+    relayed_store relayed(store, executor, [] {
+        return true;
+    });
+    relayed.setRelayTopic("keyed.t");
+    // Nothing listens there.
+    relayed.setRelay(network_address("127.0.0.1:9"));
+    int appended = 0;
+    topic_observer observer;
+    observer.listed = [](const std::vector<keyed_record> &, log_offset) {};
+    observer.appended = [&](const std::vector<keyed_record> &) {
+        ++appended;
+    };
+    observer.lost = [] {};
+    observer.returned = [] {};
+    keyed_topic_follower follower(relayed, "keyed.t", executor, {}, observer);
+    follower.start();
+    context.run_for(1s);
+    cr_expect(appended > 0, "%d reads, none with records", store.reads);
+}
--- a/tests/unit/permits/instance_world.cpp
+++ b/tests/unit/permits/instance_world.cpp
@@ -281,7 +281,10 @@
 void instance_world::submit()
 {
     std::size_t index = std::uniform_int_distribution<std::size_t>(0, m_instances.size() - 1)(m_random);
-    while (!m_instances[index]->up) {
+    const auto takesRequests = [this](std::size_t instance) {
+        return m_instances[instance]->up && (!m_settings.callersInZone || instance % m_settings.zones == *m_settings.callersInZone);
+    };
+    while (!takesRequests(index)) {
         index = (index + 1) % m_instances.size();
     }
     const std::size_t number = m_requests.size();
@@ -425,6 +428,7 @@
         const time_span taken = request.finished - request.arrived;
         if (request.status == 200) {
             ++(taken <= m_settings.latencyTarget ? result.inTarget : result.late);
+            result.meanTime += taken;
         } else if (!request.answered || outcomeClass(request.code) == request_outcome_class::unknown) {
             ++result.unknown;
         } else {
@@ -432,6 +436,7 @@
             result.longestHeldRefusal = std::max(result.longestHeldRefusal, taken);
         }
     }
+    result.meanTime /= static_cast<std::int64_t>(std::max<std::size_t>(1, result.inTarget + result.late));
     return result;
 }
 
--- a/tests/unit/permits/instance_world.h
+++ b/tests/unit/permits/instance_world.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     time_span timeout = std::chrono::milliseconds(1500);
     /** Share of the messages between instances that are lost. */
     double lostMessages = 0;
+    /** Zone whose instances take all requests. */
+    std::optional<std::size_t> callersInZone;
     std::uint64_t seed = 1;
 };
 
@@ -51,6 +54,8 @@
     /** Requests that began to run, and those of them that ran more than once. */
     std::size_t ran = 0;
     std::size_t ranTwice = 0;
+    /** Time to the answer of those that were answered by an endpoint. */
+    time_span meanTime{};
 };
 
 /**
--- a/tests/unit/permits/permit_load_test.cpp
+++ b/tests/unit/permits/permit_load_test.cpp
@@ -170,6 +170,44 @@
     cr_expect(share(all.inTarget + all.late, all.asked) > 0.95, "%zu of %zu served", all.inTarget + all.late, all.asked);
 }
 
+// Load pattern: all endpoints of keys refuse half of what they get, on purpose. Their worker slots are idle, so that nothing is
+// refused because it would wait.
+Test(permit_load, owners_that_shed_are_not_taken_for_slow)
+{
+    world_settings settings;
+    instance_world world(settings);
+    for (std::size_t i = 0; i < settings.endpoints; ++i) {
+        world.setShedding(i, 0.55);
+    }
+    steady(world, capacity * quietLoad);
+    world.play(10s);
+    world.settle();
+    const world_result all = world.result();
+    // The first try succeeds for 45 of 100, and the allowance for repeats is a fifth of the requests.
+    cr_expect(share(all.inTarget, all.asked) > 0.5, "%zu of %zu in time", all.inTarget, all.asked);
+    cr_expect(share(all.ran, all.asked) > 0.5, "%zu of %zu ran", all.ran, all.asked);
+}
+
+// Load pattern: a service that is not divided by key, and demand that comes from one zone mostly. Work that would wait there goes to
+// other zones.
+Test(permit_load, work_goes_to_another_zone_before_it_waits)
+{
+    world_settings settings;
+    settings.dividedByKey = false;
+    settings.endpoints = 18;
+    settings.callersInZone = 0;
+    instance_world world(settings);
+    // A third more than the zone can do, and less than half of what all can.
+    steady(world, 6 * 2 / 0.26 * 1.3);
+    world.play(10s);
+    world.settle();
+    const world_result all = world.result();
+    cr_expect(share(all.inTarget, all.asked) > 0.97, "%zu of %zu in time", all.inTarget, all.asked);
+    cr_expect(all.meanTime < 390ms,
+              "%ld ms on average, of which 260 are work",
+              static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(all.meanTime).count()));
+}
+
 // Load pattern: the instances that keep the queues of a fifth of the endpoints are lost at the crest. Others keep them within some
 // 100 ms, and no request runs twice.
 Test(permit_load, lost_keepers_are_replaced_at_the_crest)
