--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -104,7 +104,8 @@
         send(*subject, *gate, now);
         return;
     }
-    // This instance and the keeper learn of changes at different times.
+    // This instance and the keeper learn of changes at different times. Until the keeper knows, it is told what not to grant again.
+    subject->tried.insert(life.endpoint);
     returnPermit(*subject, {}, now);
     subject->retryAt = now + fullRetryDelay;
     subject->state = request_state::delayed;
