Do not pass the end of a chunked body to Beast in pieces that it asserts against

"0\r\n" that arrives alone behind a header, and then again with a byte more, ended the process in builds with assertions. Builds without them, which users run, were not affected.

Change: the parser waits for five bytes; nothing that ends a chunked body is shorter.

--- a/libs/http_message/http_parser.cpp
+++ b/libs/http_message/http_parser.cpp
@@ -160,6 +160,11 @@
             return 0;
         }
         parser->started = true;
+        // Beast asserts that it is not called again for a last chunk of fewer bytes. Nothing that ends a chunked body is shorter.
+        constexpr std::size_t shortestChunkedEnd = 5;
+        if (parser->is_header_done() && parser->chunked() && data.size() < shortestChunkedEnd) {
+            return 0;
+        }
         beast::error_code ec;
         const std::size_t used = parser->put(boost::asio::const_buffer(data.data(), data.size()), ec);
         if (ec && ec != http::error::need_more) {
--- a/tests/unit/http_message/http_parser_test.cpp
+++ b/tests/unit/http_message/http_parser_test.cpp
@@ -243,3 +243,23 @@
         cr_expect(*kept <= limits.headerBytes + 2048, "stream %zu: %zu bytes kept", i, *kept);
     }
 }
+
+// Guards against a process that ends by an assertion of the HTTP library, in builds with assertions: an empty chunked body, with and
+// without a chunk before it, that arrives byte by byte.
+Test(http_request_parser, chunked_end_may_arrive_byte_by_byte)
+{
+    for (const std::string body : { "0\r\n\r\n", "0\r\nT: v\r\n\r\n", "3\r\nabc\r\n0\r\n\r\n" }) {
+        http_request_parser parser(http_limits{});
+        std::string unparsed;
+        for (const char byte : "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body) {
+            unparsed += byte;
+            std::size_t used = 1;
+            while (used > 0 && !unparsed.empty() && parser.state() == http_parse_state::need_more) {
+                used = parser.feed(unparsed);
+                unparsed.erase(0, used);
+            }
+        }
+        cr_expect_eq(parser.state(), http_parse_state::complete);
+        cr_expect(unparsed.empty());
+    }
+}
