Divide the key assigner by job

Lives of endpoints stay there; planning and orders have files of their own, and detail/key_assigner_impl.h declares what they share.

--- /dev/null
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -0,0 +1,205 @@
+#include "key_ownership/detail/key_assigner_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoretray
+{
+
+using detail::assignment;
+using detail::clearing_holder;
+using detail::rangeText;
+
+namespace
+{
+
+// Ranges per endpoint beyond which neighbours with one owner are joined, because each range is renewed by a call of its own.
+constexpr std::size_t rangesPerEndpoint = 2;
+constexpr std::size_t joinsPerPlan = 4;
+
+} // namespace
+
+std::size_t key_assigner::impl::indexOf(std::uint32_t key) const
+{
+    const auto position = std::lower_bound(assignments.begin(), assignments.end(), key, [](const assignment &each, std::uint32_t value) {
+        return each.keys.last < value;
+    });
+    return static_cast<std::size_t>(position - assignments.begin());
+}
+
+assignment *key_assigner::impl::bySerial(std::uint64_t serial)
+{
+    const auto found = std::find_if(assignments.begin(), assignments.end(), [&](const assignment &each) {
+        return each.serial == serial;
+    });
+    return serial == 0 || found == assignments.end() ? nullptr : &*found;
+}
+
+assignment &key_assigner::impl::isolate(key_range keys)
+{
+    const std::size_t index = indexOf(keys.first);
+    const assignment whole = assignments[index];
+    if (whole.keys == keys) {
+        return assignments[index];
+    }
+    std::vector<assignment> parts;
+    if (whole.keys.first < keys.first) {
+        parts.push_back(partOf(whole, { whole.keys.first, keys.first - 1 }, ++lastSerial));
+    }
+    const std::size_t position = index + parts.size();
+    parts.push_back(partOf(whole, keys, ++lastSerial));
+    if (keys.last < whole.keys.last) {
+        parts.push_back(partOf(whole, { keys.last + 1, whole.keys.last }, ++lastSerial));
+    }
+    assignments.erase(assignments.begin() + static_cast<std::ptrdiff_t>(index));
+    assignments.insert(assignments.begin() + static_cast<std::ptrdiff_t>(index), parts.begin(), parts.end());
+    return assignments[position];
+}
+
+void key_assigner::impl::retarget(assignment &subject, const endpoint_life &owner, std::string_view reason, monotonic_time now)
+{
+    note("keys_moved",
+         { { "keys", rangeText(subject.keys) },
+           { "from", subject.owner.endpoint.value() },
+           { "to", owner.endpoint.value() },
+           { "reason", std::string(reason) },
+           { "token", std::to_string(nextToken + 1) } });
+    if (subject.hasOwner() && subject.settled && subject.changedIn <= written && !endedLives.contains(subject.owner)) {
+        subject.renewUntilWritten.push_back({ subject.owner, subject.keys, subject.token });
+    }
+    subject.lapse = time_span::zero();
+    if (subject.hasOwner() && subject.grantSent && !(subject.owner == owner)) {
+        subject.addHolder(presentLife(subject.owner));
+        if (contact.isLost(subject.owner)) {
+            subject.lapse = lapses.remaining(subject.owner, now);
+        }
+    }
+    std::erase_if(subject.holders, [&](const clearing_holder &holder) {
+        return holder.life == owner;
+    });
+    subject.owner = owner;
+    subject.releaseToken = fencing_token(nextToken++);
+    subject.token = fencing_token(nextToken++);
+    subject.settled = false;
+    subject.grantSent = false;
+    subject.intact = subject.intact && !subject.renewUntilWritten.empty();
+    subject.superseded = false;
+    subject.grantOrder.reset();
+    subject.nextGrant = now;
+    subject.changedIn = ++revision;
+}
+
+void key_assigner::impl::settle(assignment &subject, monotonic_time now)
+{
+    subject.settled = true;
+    subject.lapse = time_span::zero();
+    subject.handover.clear();
+    subject.movableFrom = now + settings.settleInterval;
+    ++revision;
+    note("keys_settled",
+         { { "keys", rangeText(subject.keys) }, { "owner", subject.owner.endpoint.value() }, { "token", std::to_string(subject.token.value()) } });
+}
+
+bool key_assigner::impl::mayStart(monotonic_time now) const
+{
+    const bool anyOwner = std::any_of(assignments.begin(), assignments.end(), [](const assignment &each) {
+        return each.hasOwner();
+    });
+    return anyOwner || now - endpointsGrewAt >= settings.startInterval;
+}
+
+key_assigner::impl::plan_input key_assigner::impl::planInput(monotonic_time now) const
+{
+    plan_input input;
+    std::map<endpoint_life, std::size_t> indexes;
+    for (const listed_endpoint &endpoint : endpoints) {
+        if (isUsable(endpoint)) {
+            const endpoint_id &id = endpoint.entry.life.endpoint;
+            indexes[endpoint.entry.life] = input.lives.size();
+            input.lives.push_back(endpoint.entry.life);
+            // Failed requests are repeated, so a failing endpoint does that much less useful work.
+            const double slowness = load.slowness(id) / (1 - load.failureShare(id) * 0.9);
+            input.endpoints.push_back(
+                { static_cast<double>(std::max(1U, endpoint.entry.workerSlots)), slowness, now < endpoint.stateSince + endpoint.entry.coldFor });
+        }
+    }
+    for (const assignment &each : assignments) {
+        const auto owner = indexes.find(each.owner);
+        input.ranges.push_back(
+            { each.keys, owner == indexes.end() ? std::nullopt : std::optional(owner->second), each.settled && !each.superseded && now >= each.movableFrom });
+    }
+    return input;
+}
+
+void key_assigner::impl::plan(monotonic_time now)
+{
+    nextPlan = now + settings.planInterval;
+    noteEndedLives();
+    if (endpoints.empty() || isCutOff() || !mayStart(now)) {
+        return;
+    }
+    renewTokens(now);
+    const plan_input input = planInput(now);
+    if (input.endpoints.empty()) {
+        return;
+    }
+    range_planner planner(load, input.endpoints, input.ranges, {});
+    apply(planner.shareOut(), input, "owner_unusable", now);
+    const auto moving = static_cast<std::size_t>(std::count_if(assignments.begin(), assignments.end(), [](const assignment &each) {
+        return !each.settled;
+    }));
+    if (now >= balanceFrom && moving < settings.concurrentMoves) {
+        apply(planner.balance(settings.concurrentMoves - moving), input, "balance", now);
+    }
+    joinNeighbours(input.endpoints.size());
+}
+
+void key_assigner::impl::renewTokens(monotonic_time now)
+{
+    for (assignment &each : assignments) {
+        if (each.superseded) {
+            retarget(each, each.owner, "token_superseded", now);
+        }
+    }
+}
+
+void key_assigner::impl::apply(const std::vector<planned_move> &moves, const plan_input &input, std::string_view reason, monotonic_time now)
+{
+    for (const planned_move &move : moves) {
+        retarget(isolate(move.keys), input.lives[move.target], reason, now);
+    }
+}
+
+bool key_assigner::impl::mayJoin(const assignment &left, const assignment &right) const
+{
+    const auto calm = [&](const assignment &each) {
+        return each.hasOwner() && each.settled && each.holders.empty() && !each.superseded && each.changedIn <= written;
+    };
+    return calm(left) && calm(right) && left.owner == right.owner && !contact.isLost(left.owner);
+}
+
+void key_assigner::impl::joinNeighbours(std::size_t usableEndpoints)
+{
+    std::size_t joins = 0;
+    for (std::size_t i = 0; i + 1 < assignments.size() && joins < joinsPerPlan && assignments.size() > rangesPerEndpoint * usableEndpoints;) {
+        assignment &left = assignments[i];
+        const assignment &right = assignments[i + 1];
+        if (!mayJoin(left, right)) {
+            ++i;
+            continue;
+        }
+        left.renewUntilWritten = { { left.owner, left.keys, left.token }, { right.owner, right.keys, right.token } };
+        left.keys.last = right.keys.last;
+        left.serial = ++lastSerial;
+        left.grantOrder.reset();
+        left.nextGrant = std::min(left.nextGrant, right.nextGrant);
+        left.token = fencing_token(nextToken++);
+        left.changedIn = ++revision;
+        left.movableFrom = std::max(left.movableFrom, right.movableFrom);
+        assignments.erase(assignments.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+        note("ranges_joined", { { "keys", rangeText(left.keys) }, { "owner", left.owner.endpoint.value() } });
+        ++joins;
+    }
+}
+
+} // namespace sycamoretray
