Learn of configurations in time when relays and connections fail together

An instance then - asked the relay and the store on idle connections that had gone silent at the same moment, and paid a timeout for each; - left the store alone for 2 s after two calls without an answer; - waited 0.3 s for a new relay again and again although the store had answered; - saw the relay of its zone change eight times in 12 s: all small instances joined the zone's group at once when the relay failed, and left it as soon as it answered, and each of them made the store deal the relay anew.

Ruled out: a relay that lists a topic anew.

Changes: a timeout closes the other idle connections to the store or relay; the store is asked again after 1 s; once it has answered, what waited for it goes on at once, and a relay that refuses is not waited for; small instances step in one after another and stay for a while (relay_reserve).

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -4,19 +4,22 @@
 #include "executor/steady_time.h"
 #include "gateway/gateway.h"
 #include "http_entry/http_server.h"
+#include "metadata_store/counting_store.h"
+#include "metadata_store/relay_reserve.h"
 #include "observability/event_log.h"
 #include "observability/metrics.h"
-#include "permits/instance_census.h"
 #include "platform/request_codec.h"
 #include "platform/store_client.h"
 #include "platform/topics.h"
 #include "sycamoretrayd/daemon_signals.h"
 #include "sycamoretrayd/gateway/endpoint_connections.h"
+#include "sycamoretrayd/gateway/head_relay.h"
+#include "sycamoretrayd/gateway/instance_publisher.h"
 #include "sycamoretrayd/gateway/internal_api.h"
 #include "sycamoretrayd/gateway/load_report_channel.h"
 #include "sycamoretrayd/gateway/ownership_runner.h"
+#include "sycamoretrayd/gateway/part_settings.h"
 #include "sycamoretrayd/gateway/permit_service.h"
-#include "sycamoretrayd/gateway/relay_record.h"
 #include "sycamoretrayd/gateway/relayed_store.h"
 #include "sycamoretrayd/gateway/store_feeds.h"
 #include "sycamoretrayd/gateway/topic_relay.h"
@@ -25,7 +28,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <random>
 #include <utility>
 #include <variant>
 
@@ -37,8 +39,6 @@
 
 constexpr std::uint32_t reportMilliseconds = 400;
 constexpr std::uint32_t upkeepMilliseconds = 200;
-// Descriptors for endpoints, the store, other instances and logs, out of those that the process may have.
-constexpr std::uint32_t otherDescriptors = 700;
 // The balancer takes an instance out of rotation after two failed checks, one a second.
 constexpr time_span rotationTime = std::chrono::milliseconds(2300);
 // Callers that keep connections open are told to open new ones, elsewhere, from then on.
@@ -49,61 +49,7 @@
 constexpr std::uint32_t stopPollMilliseconds = 50;
 // An instance that is no candidate for a relay reads the whole store itself if its zone has no relay after this time.
 constexpr std::uint32_t aloneMilliseconds = 1000;
-// Part of the memory for messages that are being received; answers to callers and what is known of the site take the rest.
-constexpr std::uint64_t bufferedPart = 4;
 constexpr std::uint32_t storeCallsMilliseconds = 5000;
-// From this number of instances on, relays read from one another.
-constexpr std::size_t instancesOfLargeSite = 16;
-
-std::string newIncarnation(const instance_id &instance)
-{
-    std::random_device device;
-    return instance.value() + "#" + std::to_string(device());
-}
-
-std::uint64_t randomFirstPermit()
-{
-    constexpr unsigned half = 32;
-    return static_cast<std::uint64_t>(std::random_device()()) << half;
-}
-
-std::shared_ptr<buffer_budget> messageBudget(const gateway_daemon_settings &settings)
-{
-    constexpr std::uint64_t megabyte = 1024UL * 1024;
-    return std::make_shared<buffer_budget>(settings.memoryMb * megabyte / bufferedPart);
-}
-
-http_server_settings callerServerSettings(const gateway_daemon_settings &settings, const std::shared_ptr<buffer_budget> &budget)
-{
-    http_server_settings result;
-    result.budget = budget;
-    result.address = settings.callerAddress;
-    result.maxConnections = std::max(otherDescriptors, settings.descriptors) - otherDescriptors + 1;
-    constexpr std::uint64_t bodyBytes = 64ULL * 1024 * 1024;
-    result.limits.bodyBytes = bodyBytes;
-    return result;
-}
-
-http_server_settings readinessServerSettings(const gateway_daemon_settings &settings)
-{
-    http_server_settings result;
-    result.address = settings.readinessAddress;
-    constexpr std::uint32_t checkers = 64;
-    result.maxConnections = checkers;
-    return result;
-}
-
-gateway_settings gatewaySettings(const gateway_daemon_settings &settings)
-{
-    gateway_settings result;
-    result.instance = settings.instance;
-    result.zone = settings.zone;
-    result.firstPermit = randomFirstPermit();
-    result.retries = { settings.retryShare, settings.retrySlack, settings.retryWindow };
-    // A notice takes up to 2 s to arrive if relays are lost, and the time counts from its arrival.
-    result.drainTime = settings.drainLimit / 4;
-    return result;
-}
 
 } // namespace
 
@@ -118,7 +64,8 @@
     monotonic_time gatewayTimerAt = monotonic_time::max();
     std::shared_ptr<buffer_budget> budget;
     metrics_registry metrics;
-    platform::store_client store;
+    platform::store_client storeClient;
+    counting_store store;
     topic_relay relay;
     relayed_store topics;
     endpoint_connections endpoints;
@@ -129,8 +76,7 @@
     datagram_channel datagrams;
     load_report_channel reports;
     permit_service permits;
-    instance_census census;
-    bool countsInstances = false;
+    instance_publisher instances;
     internal_api internal;
     http_server callerServer;
     http_server readinessServer;
@@ -158,7 +104,6 @@
     bool isReady();
     void storeAnswered();
     void chooseRelay();
-    std::optional<network_address> headRelay() const;
     void upkeep();
     void reportLoad();
     void logStoreCalls();
@@ -167,7 +112,6 @@
     feed_observer feedObserver();
     permit_observer permitObserver();
     std::optional<availability_zone> zoneOf(const endpoint_life &life) const;
-    void publishInstances();
 
     // --- stop ---
 
@@ -181,7 +125,12 @@
     : settings(std::move(givenSettings))
     , settingsFile(std::move(givenSettingsFile))
     , budget(messageBudget(settings))
-    , store(executor, settings.storeAddress)
+    , storeClient(executor, settings.storeAddress)
+    , store(storeClient,
+            [this](std::string_view kind, const std::string &subject) {
+                metrics.counter("sycamoretray_store_calls_total{call=\"" + std::string(kind) + "\",subject=\"" + subject + "\"}").add();
+                ++storeCalls[std::string(kind) + ":" + subject];
+            })
     , relay(executor,
             [this](bool toRelay) {
                 // Two relays that read from each other would both miss what is new.
@@ -222,6 +171,7 @@
               return zoneOf(life);
           },
           permitObserver())
+    , instances(store, settings.zone, { settings.internalAddress, settings.processorShare })
     , internal(context,
                executor,
                settings.internalAddress,
@@ -266,15 +216,11 @@
         router.replied(attempt, std::move(reply), steadyNow());
         touched();
     });
-    store.onCall([this](std::string_view kind, const std::string &subject) {
-        metrics.counter("sycamoretray_store_calls_total{call=\"" + std::string(kind) + "\",subject=\"" + subject + "\"}").add();
-        ++storeCalls[std::string(kind) + ":" + subject];
-    });
     router.setPermits(permits.source());
     topics.setRelayTopic(platform::ownershipTopic);
     topics.setReader(settings.internalAddress, settings.processorShare);
     relay.onReader([this](const network_address &reader, double weight) {
-        census.seen(reader, weight, steadyNow());
+        instances.seen(reader, weight, steadyNow());
     });
     metrics.gauge("sycamoretray_permits_waiting", [this] {
         return static_cast<double>(permits.waiting());
@@ -438,34 +384,13 @@
     }
     topics.setReadsForOthers(ownership.leadsZone());
     if (ownership.leadsZone()) {
-        topics.setRelay(headRelay());
+        topics.setRelay(ownership.leads() ? std::nullopt : headRelay(feeds.ownership(), feeds.instances(), settings.internalAddress));
         return;
     }
     const bool own = found == feeds.relays().end() || found->second == settings.internalAddress;
     topics.setRelay(own ? std::nullopt : std::optional(found->second));
 }
 
-/**
- * The relays of the other zones read from the assigner, which is the relay of its zone and writes most of the records. With few
- * instances that would save few calls of the store.
- */
-std::optional<network_address> gateway_daemon::impl::headRelay() const
-{
-    if (candidateCount(feeds.instances()) < instancesOfLargeSite) {
-        return std::nullopt;
-    }
-    const ownership_record *newest = nullptr;
-    for (const auto &[service, record] : feeds.ownership().records()) {
-        if (!record.resigned && (newest == nullptr || record.epoch > newest->epoch)) {
-            newest = &record;
-        }
-    }
-    if (newest == nullptr || newest->assigner == settings.internalAddress || ownership.leads()) {
-        return std::nullopt;
-    }
-    return newest->assigner;
-}
-
 bool gateway_daemon::impl::isReady()
 {
     const bool ready = !stopping && feeds.isComplete() && !feeds.directory().endpoints().empty();
@@ -475,33 +400,11 @@
     return ready;
 }
 
-/** The relay of a zone lists the instances that read from it. */
-void gateway_daemon::impl::publishInstances()
-{
-    const monotonic_time now = steadyNow();
-    const auto known = feeds.instances().find(settings.zone);
-    const std::vector<keeper_candidate> published = known == feeds.instances().end() ? std::vector<keeper_candidate>() : known->second;
-    const bool counts = !stopping && ownership.isRelay(false) && feeds.isComplete();
-    if (counts && !std::exchange(countsInstances, true)) {
-        census.start(published, now);
-    }
-    countsInstances = counts;
-    if (!counts) {
-        return;
-    }
-    census.seen(settings.internalAddress, settings.processorShare, now);
-    if (const auto list = census.takeDue(published, now)) {
-        logEvent("instances_published", { { "zone", settings.zone.value() }, { "instances", std::to_string(list->size()) } });
-        // An append that fails is repeated, because the record that is read back still differs.
-        store.append(platform::ownershipTopic, { { instancesKey(settings.zone), encodeCandidates(*list) } }, std::nullopt, [](const append_reply &) {});
-    }
-}
-
 void gateway_daemon::impl::upkeep()
 {
     const monotonic_time now = steadyNow();
     feeds.expire(now);
-    publishInstances();
+    instances.update(!stopping && ownership.isRelay(false) && feeds.isComplete(), feeds.instances(), now);
     endpoints.closeUnused(now);
     const auto &listed = feeds.directory().endpoints();
     const bool anyDraining = std::any_of(listed.begin(), listed.end(), [](const auto &item) {
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/head_relay.cpp
@@ -0,0 +1,20 @@
+#include "sycamoretrayd/gateway/head_relay.h"
+
+namespace sycamoretray
+{
+
+std::optional<network_address> headRelay(const ownership_view &ownership, const keeper_candidates &instances, const network_address &self)
+{
+    if (!isLargeSite(instances)) {
+        return std::nullopt;
+    }
+    const ownership_record *newest = nullptr;
+    for (const auto &[service, record] : ownership.records()) {
+        if (!record.resigned && (newest == nullptr || record.epoch > newest->epoch)) {
+            newest = &record;
+        }
+    }
+    return newest == nullptr || newest->assigner == self ? std::nullopt : std::optional(newest->assigner);
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/instance_publisher.cpp
@@ -0,0 +1,49 @@
+#include "sycamoretrayd/gateway/instance_publisher.h"
+
+#include "observability/event_log.h"
+#include "platform/topics.h"
+#include "sycamoretrayd/gateway/relay_record.h"
+
+#include <utility>
+
+namespace sycamoretray
+{
+
+instance_publisher::instance_publisher(metadata_store &store, availability_zone zone, keeper_candidate self)
+    : m_store(store)
+    , m_zone(std::move(zone))
+    , m_self(std::move(self))
+{
+}
+
+void instance_publisher::seen(const network_address &instance, double weight, monotonic_time now)
+{
+    m_census.seen(instance, weight, now);
+}
+
+void instance_publisher::update(bool isRelay, const keeper_candidates &published, monotonic_time now)
+{
+    const auto known = published.find(m_zone);
+    const std::vector<keeper_candidate> list = known == published.end() ? std::vector<keeper_candidate>() : known->second;
+    if (isRelay && !m_counting) {
+        m_census.start(list, now);
+    }
+    m_counting = isRelay;
+    if (!isRelay) {
+        return;
+    }
+    m_census.seen(m_self.address, m_self.weight, now);
+    const auto due = m_census.takeDue(list, now);
+    if (!due) {
+        return;
+    }
+    logEvent("instances_published", { { "zone", m_zone.value() }, { "instances", std::to_string(due->size()) } });
+    m_store.append(platform::ownershipTopic, { { instancesKey(m_zone), encodeCandidates(*due) } }, std::nullopt, [](const append_reply &reply) {
+        if (reply.result != store_result::ok) {
+            // The record that is read back still differs, so that it is published again.
+            logEvent(event_severity::warning, "instances_not_published", {});
+        }
+    });
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/instance_publisher.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/ids.h"
+#include "metadata_store/metadata_store.h"
+#include "permits/instance_census.h"
+
+namespace sycamoretray
+{
+
+/**
+ * Publishes the live instances of a zone while this instance is the zone's relay, from which the others read.
+ *
+ * Thread safety: none; used on the strand of the store.
+ */
+class instance_publisher
+{
+public:
+    /** @param store  must outlive this object */
+    instance_publisher(metadata_store &store, availability_zone zone, keeper_candidate self);
+
+    /** An instance reads from this one. @param weight  0 if it is about to stop */
+    void seen(const network_address &instance, double weight, monotonic_time now);
+
+    /** Publishes the list if it is due. Call it regularly. @param isRelay  this instance reads for the zone, and what it knows is complete */
+    void update(bool isRelay, const keeper_candidates &published, monotonic_time now);
+
+private:
+    metadata_store &m_store;
+    availability_zone m_zone;
+    keeper_candidate m_self;
+    instance_census m_census;
+    bool m_counting = false;
+};
+
+} // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -4,6 +4,7 @@
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
 #include "key_ownership/ownership_parts.h"
+#include "metadata_store/relay_reserve.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
 #include "sycamoretrayd/gateway/group_membership.h"
@@ -22,8 +23,6 @@
 namespace
 {
 
-// Smaller instances take part only if their zone has had no relay for this time.
-constexpr time_span reserveDelay = std::chrono::milliseconds(2500);
 // A relay that is lost is replaced by reads of the store itself, so its zone need not notice at once.
 constexpr int zoneTimeToLiveFactor = 2;
 // Silence of the store after which a relay may be out of date.
@@ -63,6 +62,7 @@
     std::map<service_id, std::unique_ptr<key_assigner>> assigners;
     bool stopped = false;
     monotonic_time started{};
+    std::optional<relay_reserve> reserve;
     /** Chooses the relay of the zone. */
     std::unique_ptr<group_membership> zoneGroup;
     /** Chooses the assigner; set while this instance is the relay of its zone. */
@@ -97,10 +97,11 @@
     void tick()
     {
         const monotonic_time now = steadyNow();
-        if (!zoneGroup && isNeeded(now)) {
+        const bool takesPart = reserve->takesPart({ environment.feeds.relays().contains(settings.zone), environment.relayFailing() }, now);
+        if (!zoneGroup && takesPart) {
             joinZone();
         }
-        if (zoneGroup && !zoneGroup->leads() && !assignerGroup && !isNeeded(now)) {
+        if (zoneGroup && !zoneGroup->leads() && !assignerGroup && !takesPart) {
             logEvent("reserve_dismissed", { { "zone", settings.zone.value() } });
             zoneGroup->leave();
             zoneGroup.reset();
@@ -114,12 +115,6 @@
         }
     }
 
-    bool isNeeded(monotonic_time now) const
-    {
-        const bool relayKnown = environment.feeds.relays().contains(settings.zone);
-        return isRelayCandidate(settings.processorShare) || (!relayKnown && now - started > reserveDelay) || environment.relayFailing() > reserveDelay;
-    }
-
     void joinZone()
     {
         const std::string group = zoneGroupPrefix + settings.zone.value();
@@ -486,13 +481,6 @@
     }
 };
 
-bool isRelayCandidate(double processorShare) noexcept
-{
-    // A relay of a large zone, and an assigner of hundreds of endpoints, need more than a tenth of a core.
-    constexpr double candidateShare = 0.2;
-    return processorShare >= candidateShare;
-}
-
 ownership_runner::ownership_runner(serial_executor executor, ownership_runner_settings settings, ownership_environment environment)
     : d(std::make_shared<impl>(std::move(executor), std::move(settings), std::move(environment)))
 {
@@ -506,6 +494,7 @@
 void ownership_runner::start()
 {
     d->started = steadyNow();
+    d->reserve.emplace(d->settings.instance, d->settings.processorShare, d->started);
     d->executor.repeat(tickMilliseconds, [weak = d->weak_from_this()] {
         const auto self = weak.lock();
         if (!self || self->stopped) {
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -27,9 +27,6 @@
     double processorShare = 1;
 };
 
-/** An instance with this processor share, in cores, reads the store for its zone if it is chosen. Others do so only if there is nobody else. Thread-safe. */
-bool isRelayCandidate(double processorShare) noexcept;
-
 /** What an ownership_runner works with; all of it outlives the runner. */
 struct ownership_environment {
     metadata_store &store;
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/part_settings.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "gateway/gateway.h"
+#include "http_entry/http_server.h"
+#include "http_message/buffer_budget.h"
+#include "settings/gateway_daemon_settings.h"
+
+#include <memory>
+#include <string>
+
+namespace sycamoretray
+{
+
+/** Returns a name for this process that no other process of the instance has. Thread-safe. */
+std::string newIncarnation(const instance_id &instance);
+
+/** Returns the budget for messages that are being received. Thread-safe. */
+std::shared_ptr<buffer_budget> messageBudget(const gateway_daemon_settings &settings);
+
+/** Returns the settings of the server for callers. Thread-safe. */
+http_server_settings callerServerSettings(const gateway_daemon_settings &settings, const std::shared_ptr<buffer_budget> &budget);
+
+/** Returns the settings of the server for the balancer's checks. Thread-safe. */
+http_server_settings readinessServerSettings(const gateway_daemon_settings &settings);
+
+/** Returns the settings of the request path. Thread-safe. */
+gateway_settings gatewaySettings(const gateway_daemon_settings &settings);
+
+} // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/permit_service.cpp
+++ b/apps/sycamoretrayd/gateway/permit_service.cpp
@@ -135,7 +135,7 @@
 
 void permit_service::resign()
 {
-    d->keeper.resign(steadyNow());
+    d->keeper.resign();
 }
 
 std::size_t permit_service::waiting() const
--- a/apps/sycamoretrayd/gateway/relayed_store.cpp
+++ b/apps/sycamoretrayd/gateway/relayed_store.cpp
@@ -24,11 +24,11 @@
 // Time for the record of a new relay to arrive, after the former one refused.
 constexpr std::uint32_t newRelayMilliseconds = 300;
 // The same for the store, if it failed as well; every call of every instance is paid for.
-constexpr time_span directPause = std::chrono::milliseconds(2000);
+constexpr time_span directPause = std::chrono::milliseconds(1000);
 // Calls without an answer in a row for which the store counts as failed: a connection that went silent fails one call, a new one works.
 constexpr int mostSilentCalls = 2;
 // How often a read waits for the new relay or for the store's answer about it.
-constexpr int mostWaits = 3;
+constexpr int mostWaits = 6;
 // Longer than a relay holds a read and its caller waits for it.
 constexpr std::uint32_t formerRelayMilliseconds = 15000;
 // Between reads of the store by an instance that reads for itself alone: hundreds of records arrive within seconds when a site
@@ -40,6 +40,7 @@
 {
     connection_pool_settings settings;
     settings.spareConnections = 0;
+    settings.closeIdleAfterTimeout = true;
     settings.connectTimeout = relayTimeout;
     settings.limits.bodyBytes = mostReplyBytes;
     return settings;
@@ -72,6 +73,9 @@
     /** When the store answered a read of this instance last. */
     std::optional<monotonic_time> directAnsweredAt;
     std::uint64_t lastRead = 0;
+    std::uint64_t lastDelayed = 0;
+    /** Calls that wait for a new relay, or for the store. */
+    std::map<std::uint64_t, std::function<void()>> delayed;
     std::map<std::uint64_t, open_read> reads;
 
     impl(metadata_store &givenStore, serial_executor givenExecutor, std::function<bool()> givenStoreAnswers)
@@ -106,8 +110,12 @@
     void noteDirectResult(store_result result)
     {
         if (result == store_result::ok || result == store_result::expired) {
+            const bool wasReached = storeReached();
             directAnsweredAt = steadyNow();
             silentCalls = 0;
+            if (!wasReached) {
+                runAllDelayed();
+            }
         } else if (pool && (result != store_result::unknown || ++silentCalls >= mostSilentCalls)) {
             directPausedUntil = steadyNow() + directPause;
             silentCalls = 0;
@@ -203,22 +211,47 @@
         });
     }
 
-    /** The relay answers, but relays no more. An instance that others read from does not wait. */
+    /**
+     * The relay answers, but relays no more: its successor may be known in a moment. An instance that others read from does not wait, nor
+     * one that has asked the store since, because then the successor has failed too.
+     */
     bool waitsForNewRelay(const std::string &topic, const http_exchange_result &result) const
     {
-        return result.code == result_code::ok && topic != relayTopic && !readsForOthers;
+        return result.code == result_code::ok && topic != relayTopic && !readsForOthers && !storeReached();
     }
 
+    /** Calls @p function after a moment, or as soon as the store answers. */
     void later(std::function<void()> function)
     {
-        executor.repeat(newRelayMilliseconds, [weak = weak_from_this(), function = std::move(function)] {
+        const std::uint64_t id = ++lastDelayed;
+        delayed.emplace(id, std::move(function));
+        executor.repeat(newRelayMilliseconds, [weak = weak_from_this(), id] {
             if (const auto self = weak.lock()) {
-                function();
+                self->runDelayed(id);
             }
             return false;
         });
     }
 
+    void runDelayed(std::uint64_t id)
+    {
+        const auto found = delayed.extract(id);
+        if (!found.empty()) {
+            found.mapped()();
+        }
+    }
+
+    void runAllDelayed()
+    {
+        for (const auto &[id, function] : delayed) {
+            executor.post([weak = weak_from_this(), id] {
+                if (const auto self = weak.lock()) {
+                    self->runDelayed(id);
+                }
+            });
+        }
+    }
+
     void start(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, const std::function<void(keyed_read)> &done, int waits)
     {
         if (usesRelay()) {
--- a/libs/gateway/endpoint_gate.cpp
+++ b/libs/gateway/endpoint_gate.cpp
@@ -140,11 +140,15 @@
     return slowness() * coldFactor(now);
 }
 
-time_span endpoint_gate::expectedTime(time_span usual, monotonic_time now) const noexcept
+double endpoint_gate::queueFactor(monotonic_time now) const noexcept
 {
     const double slots = std::max(1U, m_entry.workerSlots);
-    const double queued = std::max(0.0, estimatedLoad(now) + 1 - slots);
-    return std::chrono::duration_cast<time_span>(usual * (presentSlowness(now) * (1 + queued / slots)));
+    return 1 + std::max(0.0, estimatedLoad(now) + 1 - slots) / slots;
+}
+
+time_span endpoint_gate::expectedTime(time_span usual, monotonic_time now) const noexcept
+{
+    return std::chrono::duration_cast<time_span>(usual * (presentSlowness(now) * queueFactor(now)));
 }
 
 void endpoint_gate::sent()
--- a/libs/gateway/endpoint_gate.h
+++ b/libs/gateway/endpoint_gate.h
@@ -62,6 +62,9 @@
     /** As slowness(), with the time that an endpoint stays slow after its start. */
     double presentSlowness(monotonic_time now) const noexcept;
 
+    /** How many times as long as it runs a further request takes, because it waits for a worker slot. */
+    double queueFactor(monotonic_time now) const noexcept;
+
     /** Time from sending to the answer that a request of this usual time takes. */
     time_span expectedTime(time_span usual, monotonic_time now) const noexcept;
 
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -15,35 +15,11 @@
     : m_socket(strand)
     , m_pool(&pool)
     , m_parser(settings.limits)
-    , m_budget(settings.budget)
+    , m_received(settings.budget)
     , m_silenceLimit(settings.silenceLimit)
 {
 }
 
-client_connection::~client_connection()
-{
-    releaseHeld();
-}
-
-bool client_connection::hold(std::size_t size)
-{
-    if (!m_budget) {
-        return true;
-    }
-    if (!m_budget->take(size)) {
-        return false;
-    }
-    m_held += size;
-    return true;
-}
-
-void client_connection::releaseHeld()
-{
-    if (m_budget) {
-        m_budget->giveBack(std::exchange(m_held, 0));
-    }
-}
-
 void client_connection::setOptions()
 {
     boost::system::error_code ignored;
@@ -146,7 +122,7 @@
         m_pool->closedIdle(*this);
         return;
     }
-    if (!hold(size)) {
+    if (!m_received.take(size)) {
         fail(result_code::body_too_large);
         return;
     }
@@ -220,7 +196,7 @@
 {
     const auto self = shared_from_this();
     m_busy = false;
-    releaseHeld();
+    m_received.release();
     if (!reusable) {
         close();
     }
--- a/libs/http_client/detail/client_connection.h
+++ b/libs/http_client/detail/client_connection.h
@@ -47,9 +47,6 @@
     };
 
     client_connection(const strand_type &strand, observer &pool, const connection_pool_settings &settings);
-    ~client_connection();
-    client_connection(const client_connection &) = delete;
-    client_connection &operator=(const client_connection &) = delete;
 
     void connect(const boost::asio::ip::tcp::endpoint &endpoint);
 
@@ -90,9 +87,6 @@
     bool takeResponse(bool moreData);
     void connectionEnded(const boost::system::error_code &error);
     void setOptions();
-    /** Counts received bytes of the exchange; false if the budget is exceeded. */
-    bool hold(std::size_t size);
-    void releaseHeld();
     void finish(http_exchange_result result, bool reusable);
 
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand_type> m_socket;
@@ -102,9 +96,8 @@
     /** Bytes received but not parsed, because a header is incomplete. */
     std::string m_unparsed;
     std::array<char, 16384> m_input{};
-    std::shared_ptr<buffer_budget> m_budget;
-    /** Bytes of m_budget that this connection has taken. */
-    std::uint64_t m_held = 0;
+    /** What the exchange has received. */
+    budget_share m_received;
     bool m_connected = false;
     bool m_busy = false;
     bool m_writing = false;
--- a/libs/http_client/http_connection_pool.cpp
+++ b/libs/http_client/http_connection_pool.cpp
@@ -107,6 +107,15 @@
         });
     }
 
+    void closeIdle()
+    {
+        while (!idle.empty()) {
+            client_connection &connection = *idle.back();
+            connection.close();
+            remove(connection);
+        }
+    }
+
     static void failUnsent(const pending_exchange &exchange, result_code code)
     {
         http_exchange_result result;
@@ -147,6 +156,9 @@
         } else {
             remove(connection);
         }
+        if (settings.closeIdleAfterTimeout && result.code == result_code::deadline_while_running) {
+            closeIdle();
+        }
         serveWaiting();
         armSweep();
         exchange.done(std::move(result));
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -24,6 +24,8 @@
     time_span connectTimeout = std::chrono::seconds(1);
     /** A connection whose peer does not acknowledge data or keep-alive probes for about this time is closed; 0 leaves it to the system. */
     time_span silenceLimit{};
+    /** A timeout closes the idle connections too: they may have gone silent at the same moment, and each would cost another timeout. */
+    bool closeIdleAfterTimeout = false;
     http_limits limits;
     /** Shared by the pools of a process; none leaves the sum of all responses unlimited. */
     std::shared_ptr<buffer_budget> budget;
--- a/libs/http_entry/detail/http_session.cpp
+++ b/libs/http_entry/detail/http_session.cpp
@@ -29,36 +29,16 @@
     , m_socket(std::move(socket))
     , m_environment(std::move(environment))
     , m_parser(m_environment->settings.limits)
+    , m_received(m_environment->settings.budget)
 {
     m_environment->connections.fetch_add(1, std::memory_order_relaxed);
 }
 
 http_session::~http_session()
 {
-    releaseHeld();
     m_environment->connections.fetch_sub(1, std::memory_order_relaxed);
 }
 
-bool http_session::hold(std::size_t size)
-{
-    const auto &budget = m_environment->settings.budget;
-    if (!budget) {
-        return true;
-    }
-    if (!budget->take(size)) {
-        return false;
-    }
-    m_held += size;
-    return true;
-}
-
-void http_session::releaseHeld()
-{
-    if (const auto &budget = m_environment->settings.budget) {
-        budget->giveBack(std::exchange(m_held, 0));
-    }
-}
-
 void http_session::start()
 {
     boost::asio::dispatch(m_strand, [self = shared_from_this()] {
@@ -90,7 +70,7 @@
     if (isClosed()) {
         return;
     }
-    if (!m_lingering && !m_noMoreRequests && !hold(size)) {
+    if (!m_lingering && !m_noMoreRequests && !m_received.take(size)) {
         m_unparsed.clear();
         refuse(result_code::body_too_large);
     } else if (!m_lingering) {
@@ -207,7 +187,7 @@
         m_noMoreRequests = true;
     }
     if (m_pending.empty() && m_unparsed.empty() && m_requestDeadline == noDeadline) {
-        releaseHeld();
+        m_received.release();
     }
     writeMore();
 }
@@ -314,7 +294,7 @@
     }
     boost::system::error_code ignored;
     m_socket.close(ignored);
-    releaseHeld();
+    m_received.release();
     std::vector<std::function<void()>> functions;
     for (pending_answer &pending : m_pending) {
         if (pending.callerGone) {
--- a/libs/http_entry/detail/http_session.h
+++ b/libs/http_entry/detail/http_session.h
@@ -88,10 +88,6 @@
     void linger();
     void closeOnStrand();
     void updateDeadline();
-    /** Counts received bytes; false if the budget of the process is exceeded. */
-    bool hold(std::size_t size);
-    /** Gives back what was received, once all requests have been answered. */
-    void releaseHeld();
 
     static constexpr monotonic_time noDeadline = monotonic_time::max();
 
@@ -117,8 +113,8 @@
     monotonic_time m_requestDeadline = noDeadline;
     monotonic_time m_writeDeadline = noDeadline;
     bool m_lingering = false;
-    /** Bytes of the budget that this connection has taken. */
-    std::uint64_t m_held = 0;
+    /** What was received since all requests had been answered. */
+    budget_share m_received;
 };
 
 } // namespace sycamoretray::detail
--- a/libs/http_entry/http_server.cpp
+++ b/libs/http_entry/http_server.cpp
@@ -22,7 +22,7 @@
 namespace
 {
 
-// Time limits of connections are checked this often, in place of one timer per request.
+// How often timeouts of connections are checked. One sweep costs less than a timer for each request.
 constexpr std::chrono::milliseconds sweepInterval(250);
 constexpr std::chrono::milliseconds acceptRetryInterval(50);
 
--- a/libs/http_message/buffer_budget.h
+++ b/libs/http_message/buffer_budget.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace sycamoretray
 {
@@ -45,4 +47,49 @@
     std::uint64_t m_used = 0;
 };
 
+/**
+ * What one connection has taken of a budget. It is given back with the object at the latest.
+ *
+ * Thread safety: none.
+ */
+class budget_share
+{
+public:
+    /** @param budget  nothing is limited without one */
+    explicit budget_share(std::shared_ptr<buffer_budget> budget) noexcept
+        : m_budget(std::move(budget))
+    {
+    }
+
+    ~budget_share()
+    {
+        release();
+    }
+    budget_share(const budget_share &) = delete;
+    budget_share &operator=(const budget_share &) = delete;
+
+    /** Takes @p bytes; false if the budget is exceeded. */
+    bool take(std::uint64_t bytes) noexcept
+    {
+        if (m_budget && !m_budget->take(bytes)) {
+            return false;
+        }
+        m_held += bytes;
+        return true;
+    }
+
+    /** Gives everything back. */
+    void release() noexcept
+    {
+        if (m_budget) {
+            m_budget->giveBack(m_held);
+        }
+        m_held = 0;
+    }
+
+private:
+    std::shared_ptr<buffer_budget> m_budget;
+    std::uint64_t m_held = 0;
+};
+
 } // namespace sycamoretray
--- a/libs/permits/keeper_ranking.cpp
+++ b/libs/permits/keeper_ranking.cpp
@@ -61,6 +61,13 @@
     return result;
 }
 
+bool isLargeSite(const keeper_candidates &candidates) noexcept
+{
+    // An endpoint queues some ten requests, and an instance without permits has one or two at it.
+    constexpr std::size_t leastInstances = 16;
+    return candidateCount(candidates) >= leastInstances;
+}
+
 std::vector<network_address> rankKeepers(const keeper_candidates &candidates, const availability_zone &zone, std::string_view name, std::size_t most)
 {
     std::vector<std::pair<double, const keeper_candidate *>> scores;
--- a/libs/permits/keeper_ranking.h
+++ b/libs/permits/keeper_ranking.h
@@ -25,6 +25,12 @@
 /** Number of instances in all zones. Thread-safe. */
 std::size_t candidateCount(const keeper_candidates &candidates) noexcept;
 
+/**
+ * The site has so many instances that they have to coordinate: without permits they would overfill endpoints, and without chains of
+ * relays they would pay for each change many times. With fewer, their requests fit into the endpoints' queues. Thread-safe.
+ */
+bool isLargeSite(const keeper_candidates &candidates) noexcept;
+
 /**
  * Returns the instances with at least half of the weight of the strongest in their zone, for queues that many requests pass: a tenth
  * of a core is used up by some 200 questions a second. Thread-safe.
--- a/libs/permits/permit_client.cpp
+++ b/libs/permits/permit_client.cpp
@@ -21,8 +21,6 @@
 constexpr time_span stoppingPause = std::chrono::seconds(8);
 // Keepers of a queue that are tried in turn; the chance that three are lost at once is that of losing the zone.
 constexpr std::size_t mostKeepers = 3;
-// With fewer instances, their requests fit into the queues of endpoints, and asking would only cost time.
-constexpr std::size_t leastInstances = 16;
 
 } // namespace
 
@@ -37,7 +35,7 @@
 {
     m_candidates = candidates;
     m_strongest = strongestCandidates(candidates);
-    m_candidateCount = candidateCount(candidates);
+    m_largeSite = isLargeSite(candidates);
 }
 
 bool permit_client::isSilent(const network_address &instance) const
@@ -59,7 +57,7 @@
 
 bool permit_client::isUsed(const permit_request &request) const
 {
-    return m_candidateCount >= leastInstances && !(keeperOf(request) == network_address());
+    return m_largeSite && !(keeperOf(request) == network_address());
 }
 
 void permit_client::ask(const permit_request &request, monotonic_time now)
--- a/libs/permits/permit_client.h
+++ b/libs/permits/permit_client.h
@@ -95,7 +95,7 @@
     keeper_candidates m_candidates;
     /** Candidates for queues of services that are not divided by key, each of which takes the requests of a zone. */
     keeper_candidates m_strongest;
-    std::size_t m_candidateCount = 0;
+    bool m_largeSite = false;
     std::map<permit_id, open_permit> m_permits;
     std::set<std::pair<monotonic_time, permit_id>> m_due;
     /** Instances that did not answer, or that stop, and until when they are not asked. */
--- a/libs/permits/permit_keeper.cpp
+++ b/libs/permits/permit_keeper.cpp
@@ -142,7 +142,7 @@
     }
 }
 
-void permit_keeper::resign(monotonic_time /*now*/)
+void permit_keeper::resign()
 {
     m_resigned = true;
     for (auto &[name, pool] : m_pools) {
--- a/libs/permits/permit_keeper.h
+++ b/libs/permits/permit_keeper.h
@@ -44,7 +44,7 @@
     void received(const network_address &from, const permit_message &message, monotonic_time now);
 
     /** Sends those that wait to other keepers, and takes no more questions. Permits in use can still be given back. */
-    void resign(monotonic_time now);
+    void resign();
 
     /** Does what is due. Call it at nextDue(). */
     void advance(monotonic_time now);
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -164,14 +164,13 @@
         if (!usable) {
             continue;
         }
-        const double slots = std::max(1U, endpoint.gate.entry().workerSlots);
-        const double queued = std::max(0.0, endpoint.gate.estimatedLoad(now) + 1 - slots);
+        const double queueFactor = endpoint.gate.queueFactor(now);
         const double slow = slowness(endpoint, now);
         // One request at a time shows whether an endpoint has become fast enough again.
-        if (request.usual * (slow * (1 + queued / slots)) > request.useful && !endpoint.used.empty()) {
+        if (request.usual * (slow * queueFactor) > request.useful && !endpoint.used.empty()) {
             continue;
         }
-        double time = std::max(slow, endpoint.gate.presentSlowness(now)) * (1 + queued / slots);
+        double time = std::max(slow, endpoint.gate.presentSlowness(now)) * queueFactor;
         if (std::find(request.tried.begin(), request.tried.end(), life.endpoint) != request.tried.end()) {
             time *= triedFactor;
         }
--- a/libs/permits/permit_queue.cpp
+++ b/libs/permits/permit_queue.cpp
@@ -69,9 +69,4 @@
     return m_order.empty();
 }
 
-std::size_t permit_queue::size() const noexcept
-{
-    return m_order.size();
-}
-
 } // namespace sycamoretray
--- a/libs/permits/permit_queue.h
+++ b/libs/permits/permit_queue.h
@@ -45,7 +45,6 @@
     std::optional<queue_ticket> first() const;
 
     bool empty() const noexcept;
-    std::size_t size() const noexcept;
 
 private:
     void erase(queue_ticket ticket);
--- /dev/null
+++ b/tests/unit/http_client/http_connection_pool_test.cpp
@@ -0,0 +1,144 @@
+#include "executor/serial_executor.h"
+#include "executor/steady_time.h"
+#include "http_client/http_connection_pool.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace sycamoretray;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/** A server whose connections can be made silent: they stay open, and nothing is answered on them any more. */
+class silencing_server
+{
+public:
+    explicit silencing_server(boost::asio::io_context &context)
+        : m_acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    network_address address() const
+    {
+        return network_address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()));
+    }
+
+    std::size_t accepted() const
+    {
+        return m_connections.size();
+    }
+
+    void silenceOpenConnections()
+    {
+        for (const auto &connection : m_connections) {
+            connection->silent = true;
+        }
+    }
+
+private:
+    struct connection {
+        explicit connection(tcp::socket given)
+            : socket(std::move(given))
+        {
+        }
+        tcp::socket socket;
+        std::array<char, 4096> input{};
+        bool silent = false;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            m_connections.push_back(std::make_shared<connection>(std::move(socket)));
+            serve(m_connections.back());
+            accept();
+        });
+    }
+
+    void serve(const std::shared_ptr<connection> &subject)
+    {
+        subject->socket.async_read_some(boost::asio::buffer(subject->input), [this, subject](const boost::system::error_code &error, std::size_t) {
+            if (error) {
+                return;
+            }
+            if (!subject->silent) {
+                static const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                boost::asio::write(subject->socket, boost::asio::buffer(answer));
+            }
+            serve(subject);
+        });
+    }
+
+    tcp::acceptor m_acceptor;
+    std::vector<std::shared_ptr<connection>> m_connections;
+};
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+// Guards against one timeout for each idle connection: connections to one server go silent together, while new ones work.
+Test(http_connection_pool, timeout_closes_the_other_idle_connections)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    silencing_server server(context);
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    settings.closeIdleAfterTimeout = true;
+    http_connection_pool pool(executor, server.address(), settings);
+    std::vector<result_code> results;
+    const auto done = [&](const http_exchange_result &result) {
+        results.push_back(result.code);
+    };
+    for (int i = 0; i < 3; ++i) {
+        pool.exchange(request, false, 1s, done);
+    }
+    context.run_for(200ms);
+    cr_assert_eq(results.size(), 3U);
+    cr_assert_eq(server.accepted(), 3U);
+    server.silenceOpenConnections();
+    pool.exchange(request, false, 100ms, done);
+    context.run_for(200ms);
+    cr_assert_eq(results.size(), 4U);
+    cr_expect_eq(results.back(), result_code::deadline_while_running);
+    pool.exchange(request, false, 100ms, done);
+    context.run_for(200ms);
+    cr_assert_eq(results.size(), 5U);
+    cr_expect_eq(results.back(), result_code::ok);
+}
+
+// Guards against answers of many peers that together take more memory than the process has.
+Test(http_connection_pool, answers_beyond_the_budget_fail)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    silencing_server server(context);
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    settings.budget = std::make_shared<buffer_budget>(30);
+    http_connection_pool pool(executor, server.address(), settings);
+    std::vector<result_code> results;
+    pool.exchange(request, false, 1s, [&](const http_exchange_result &result) {
+        results.push_back(result.code);
+    });
+    context.run_for(200ms);
+    cr_assert_eq(results.size(), 1U);
+    cr_expect_eq(results[0], result_code::body_too_large);
+    cr_expect_eq(settings.budget->used(), 0U);
+}
--- a/tests/unit/http_message/http_parser_test.cpp
+++ b/tests/unit/http_message/http_parser_test.cpp
@@ -3,12 +3,11 @@
 
 #include <criterion/criterion.h>
 
-#include <optional>
-#include <utility>
-
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace sycamoretray;
@@ -193,6 +192,18 @@
     return std::nullopt;
 }
 
+/** Expects that a parser gives up on each stream: a start, and what is repeated after it. */
+template<class Parser>
+void expectGivenUp(const std::vector<std::pair<std::string, std::string>> &streams, const http_limits &limits)
+{
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        Parser parser(limits);
+        const auto kept = keptUntilFailure(parser, streams[i].first, streams[i].second, 1024UL * 1024);
+        cr_assert(kept.has_value(), "stream %zu goes on", i);
+        cr_expect(*kept <= limits.headerBytes + 2048, "stream %zu: %zu bytes kept", i, *kept);
+    }
+}
+
 } // namespace
 
 // Bytes without end, as from an endpoint in trouble: in a head, in a field, between the parts of a chunked body, behind it, and in the
@@ -215,12 +226,7 @@
     };
     http_limits limits{ 4096, 64UL * 1024, 50 };
     limits.bodyMayEndWithConnection = true;
-    for (std::size_t i = 0; i < streams.size(); ++i) {
-        http_response_parser parser(limits);
-        const auto kept = keptUntilFailure(parser, streams[i].first, streams[i].second, 1024UL * 1024);
-        cr_assert(kept.has_value(), "stream %zu goes on", i);
-        cr_expect(*kept <= limits.headerBytes + 2048, "stream %zu: %zu bytes kept", i, *kept);
-    }
+    expectGivenUp<http_response_parser>(streams, limits);
 }
 
 // The same from a caller.
@@ -236,12 +242,7 @@
         { chunked, "400\r\n" + std::string(1024, 'b') + "\r\n" },
     };
     const http_limits limits{ 4096, 64UL * 1024, 50 };
-    for (std::size_t i = 0; i < streams.size(); ++i) {
-        http_request_parser parser(limits);
-        const auto kept = keptUntilFailure(parser, streams[i].first, streams[i].second, 1024UL * 1024);
-        cr_assert(kept.has_value(), "stream %zu goes on", i);
-        cr_expect(*kept <= limits.headerBytes + 2048, "stream %zu: %zu bytes kept", i, *kept);
-    }
+    expectGivenUp<http_request_parser>(streams, limits);
 }
 
 // Guards against a process that ends by an assertion of the HTTP library, in builds with assertions: an empty chunked body, with and
--- a/tests/unit/metadata_store/read_spacing_test.cpp
+++ b/tests/unit/metadata_store/read_spacing_test.cpp
@@ -1,11 +1,14 @@
 #include "executor/serial_executor.h"
 #include "executor/steady_time.h"
+#include "http_entry/http_server.h"
 #include "metadata_store/keyed_topic_follower.h"
 #include "sycamoretrayd/gateway/relayed_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
 
+#include <string>
+
 using namespace sycamoretray;
 using namespace std::chrono_literals;
 
@@ -147,3 +150,65 @@
     context.run_for(1s);
     cr_expect(appended > 0, "%d reads, none with records", store.reads);
 }
+
+namespace
+{
+
+/** Lists and reads two topics through a relay that refuses everything. Returns the milliseconds until the second topic was read, or -1. */
+int millisecondsUntilRead(int unansweredCalls)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    http_server_settings refusing;
+    refusing.address = network_address("127.0.0.1:0");
+    http_server relay(context, refusing, [](const http_request & /*request*/, const std::shared_ptr<answer_slot> &slot) {
+        http_response response;
+        response.status = 503;
+        slot->answer(std::move(response));
+    });
+    cr_assert_not(relay.start());
+    busy_store store(executor);
+    store.unanswered = unansweredCalls;
+    relayed_store relayed(store, executor, [] {
+        return true;
+    });
+    relayed.setRelayTopic("keyed.relays");
+    relayed.setRelay(network_address("127.0.0.1:" + std::to_string(relay.port())));
+    const monotonic_time started = steadyNow();
+    int taken = -1;
+    const auto observer = [&](bool measured) {
+        topic_observer result;
+        result.listed = [](const std::vector<keyed_record> &, log_offset) {};
+        result.appended = [&taken, started, measured](const std::vector<keyed_record> &) {
+            if (measured && taken < 0) {
+                taken = static_cast<int>((steadyNow() - started) / 1ms);
+            }
+        };
+        result.lost = [] {};
+        result.returned = [] {};
+        return result;
+    };
+    keyed_topic_follower relays(relayed, "keyed.relays", executor, {}, observer(false));
+    keyed_topic_follower others(relayed, "keyed.others", executor, {}, observer(true));
+    relays.start();
+    others.start();
+    context.run_for(4s);
+    return taken;
+}
+
+} // namespace
+
+// Guards against a configuration that is learnt late: the relay was replaced, and its successor refuses too. Once the store has answered,
+// nothing is waited for.
+Test(read_spacing, topic_is_read_soon_if_every_relay_refuses)
+{
+    const int taken = millisecondsUntilRead(0);
+    cr_expect(taken >= 0 && taken < 1000, "%d ms", taken);
+}
+
+// The same, and the store gives no answer twice, as while it drops its history. It is asked again within a second.
+Test(read_spacing, store_that_gave_no_answer_is_asked_again_soon)
+{
+    const int taken = millisecondsUntilRead(2);
+    cr_expect(taken >= 0 && taken < 2500, "%d ms", taken);
+}
--- a/tests/unit/permits/instance_world.cpp
+++ b/tests/unit/permits/instance_world.cpp
@@ -237,7 +237,7 @@
 
 void instance_world::resign(std::size_t instance)
 {
-    m_instances[instance]->keeper.resign(m_now);
+    m_instances[instance]->keeper.resign();
     wake(instance);
 }
 
--- a/tests/unit/permits/permit_load_test.cpp
+++ b/tests/unit/permits/permit_load_test.cpp
@@ -13,7 +13,7 @@
 constexpr double capacity = 60 * 2 / 0.26;
 // Share of the capacity that is asked for on a quiet day.
 constexpr double quietLoad = 0.45;
-// Work that takes longer than the time limit by itself.
+// Share of the requests whose work alone exceeds the timeout.
 constexpr double longWork = 0.005;
 
 /** A share of the requests is for one key, the others are for any. */
@@ -37,6 +37,20 @@
     return whole == 0 ? 1 : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+/** Plays 8 s of a load, as a share of the capacity, with @p event in the middle. */
+world_result playedAround(const world_settings &settings, double load, const std::function<void(instance_world &)> &event)
+{
+    instance_world world(settings);
+    steady(world, capacity * load);
+    world.play(4s);
+    if (event) {
+        event(world);
+    }
+    world.play(4s);
+    world.settle();
+    return world.result();
+}
+
 } // namespace
 
 // Load pattern: one key gets a sixth of the traffic, and its owner never answers what it cannot queue. Without permits each instance
@@ -212,19 +226,12 @@
 // 100 ms, and no request runs twice.
 Test(permit_load, lost_keepers_are_replaced_at_the_crest)
 {
-    const auto played = [](bool withLoss) {
-        instance_world world{ world_settings() };
-        steady(world, capacity * 0.7);
-        world.play(4s);
-        for (std::size_t i = 0; withLoss && i < 60; i += 5) {
+    const world_result undisturbed = playedAround({}, 0.7, nullptr);
+    const world_result all = playedAround({}, 0.7, [](instance_world &world) {
+        for (std::size_t i = 0; i < 60; i += 5) {
             world.kill(world.keeperOf(i));
         }
-        world.play(4s);
-        world.settle();
-        return world.result();
-    };
-    const world_result undisturbed = played(false);
-    const world_result all = played(true);
+    });
     cr_expect_eq(all.ranTwice, 0U);
     cr_expect(share(all.inTarget, all.asked) > share(undisturbed.inTarget, undisturbed.asked) - 0.03, "%zu of %zu in time", all.inTarget, all.asked);
     cr_expect(share(all.unknown, all.asked) < longWork, "%zu unknown", all.unknown);
@@ -233,19 +240,12 @@
 // A planned stop of half of the keepers sends those that wait to others.
 Test(permit_load, queues_are_handed_over_at_a_planned_stop)
 {
-    const auto played = [](bool withStop) {
-        instance_world world{ world_settings() };
-        steady(world, capacity * 0.7);
-        world.play(3s);
-        for (std::size_t i = 0; withStop && i < 60; i += 2) {
+    const world_result undisturbed = playedAround({}, 0.7, nullptr);
+    const world_result all = playedAround({}, 0.7, [](instance_world &world) {
+        for (std::size_t i = 0; i < 60; i += 2) {
             world.resign(world.keeperOf(i));
         }
-        world.play(4s);
-        world.settle();
-        return world.result();
-    };
-    const world_result undisturbed = played(false);
-    const world_result all = played(true);
+    });
     cr_expect(share(all.unknown, all.asked) < longWork, "%zu unknown", all.unknown);
     cr_expect(share(all.inTarget, all.asked) > share(undisturbed.inTarget, undisturbed.asked) - 0.02, "%zu of %zu in time", all.inTarget, all.asked);
 }
@@ -253,17 +253,10 @@
 // Messages between instances are lost one in fifty.
 Test(permit_load, lost_messages_are_repeated)
 {
-    const auto played = [](double lost) {
-        world_settings settings;
-        settings.lostMessages = lost;
-        instance_world world(settings);
-        steady(world, capacity * 0.6);
-        world.play(8s);
-        world.settle();
-        return world.result();
-    };
-    const world_result undisturbed = played(0);
-    const world_result all = played(0.02);
+    world_settings lossy;
+    lossy.lostMessages = 0.02;
+    const world_result undisturbed = playedAround({}, 0.6, nullptr);
+    const world_result all = playedAround(lossy, 0.6, nullptr);
     cr_expect_eq(all.ranTwice, 0U);
     cr_expect(share(all.unknown, all.asked) < longWork, "%zu unknown", all.unknown);
     cr_expect(share(all.inTarget, all.asked) > share(undisturbed.inTarget, undisturbed.asked) - 0.02, "%zu of %zu in time", all.inTarget, all.asked);
