--- a/apps/sycamoretrayd/gateway/relayed_store.cpp
+++ b/apps/sycamoretrayd/gateway/relayed_store.cpp
@@ -243,8 +243,8 @@
 
     void runAllDelayed()
     {
-        for (const auto &[id, function] : delayed) {
-            executor.post([weak = weak_from_this(), id] {
+        for (const auto &each : delayed) {
+            executor.post([weak = weak_from_this(), id = each.first] {
                 if (const auto self = weak.lock()) {
                     self->runDelayed(id);
                 }
