Log and count requests to endpoints that name a request limit

Change: the limit is decoded with the other fields of a response. Event endpoint_request_limit says when it changes, limited_endpoint_requests each second what one instance sent to such an endpoint, first attempts and retries apart; metrics count both, and the state dump has the limit. Nothing decides by it yet.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -51,6 +51,7 @@
 // An instance that is not a relay candidate reads all topics directly from the store if its zone has no relay after this time.
 constexpr std::uint32_t relayWaitMilliseconds = 1000;
 constexpr std::uint32_t storeCallLogIntervalMilliseconds = 5000;
+constexpr std::uint32_t limitedLoadLogIntervalMilliseconds = 1000;
 
 } // namespace
 
@@ -108,6 +109,7 @@
     void runMaintenance();
     void reportLoad();
     void logStoreCalls();
+    void logLimitedEndpointLoads();
     std::string dump();
     ownership_environment ownershipEnvironment();
     feed_observer feedObserver();
@@ -229,6 +231,9 @@
     metrics.gauge("sycamoretray_permits_in_use", [this] {
         return static_cast<double>(permits.inUse());
     });
+    metrics.gauge("sycamoretray_limited_endpoints", [this] {
+        return static_cast<double>(router.limitedEndpoints());
+    });
     metrics.gauge("sycamoretray_requests_unfinished", [this] {
         return static_cast<double>(router.unfinished());
     });
@@ -442,6 +447,19 @@
     logEvent("store_calls", fields);
 }
 
+void gateway_daemon::impl::logLimitedEndpointLoads()
+{
+    for (const limited_endpoint_load &load : router.takeLimitedEndpointLoads()) {
+        metrics.counter("sycamoretray_limited_endpoint_requests_total{attempt=\"first\"}").add(load.firstAttempts);
+        metrics.counter("sycamoretray_limited_endpoint_requests_total{attempt=\"retry\"}").add(load.retries);
+        logEvent("limited_endpoint_requests",
+                 { { "endpoint", load.endpoint.value() },
+                   { "per_second", std::to_string(load.limit.value()) },
+                   { "first", std::to_string(load.firstAttempts) },
+                   { "retries", std::to_string(load.retries) } });
+    }
+}
+
 std::string gateway_daemon::impl::dump()
 {
     return "{\"gateway\":" + router.dump(steadyNow()) + ",\"ownership\":" + ownership.dump() + "}";
@@ -463,6 +481,10 @@
         logStoreCalls();
         return !finished;
     });
+    executor.repeat(limitedLoadLogIntervalMilliseconds, [this] {
+        logLimitedEndpointLoads();
+        return !finished;
+    });
     executor.repeat(loadReportIntervalMilliseconds, [this] {
         reportLoad();
         return !finished;
--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -75,12 +75,15 @@
     void sendQueued(const detail::queue_id &queueId, monotonic_time now);
     detail::tracked_endpoint *chooseEndpoint(const unanswered_request &pending, const detail::queue_id &queueId, monotonic_time now);
     void send(unanswered_request &pending, detail::tracked_endpoint &tracked, monotonic_time now);
+    /** Counts the current attempt at an endpoint that names a request limit. */
+    void recordLimitedSend(const unanswered_request &pending, const endpoint_limiter &limiter);
     /** Sends queued requests after capacity became free at an endpoint. */
     void sendQueuedFor(const endpoint_incarnation &endpoint, monotonic_time now);
 
     // Outcomes of attempts and answers to callers. Defined in gateway_replies.cpp.
     void replied(endpoint_attempt_id attempt, endpoint_reply reply, monotonic_time now);
     void recordReply(const unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
+    void logRequestLimit(const endpoint_incarnation &endpoint, const std::optional<request_rate> &limit) const;
     void handleReply(unanswered_request &pending, endpoint_reply reply, monotonic_time now);
     void handleFailure(unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
     void handleNotRun(unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -40,6 +40,12 @@
     return found == trackedEndpoints.end() ? nullptr : &found->second;
 }
 
+std::optional<request_rate> gateway_state::requestLimitOf(const endpoint_incarnation &incarnation)
+{
+    const tracked_endpoint *tracked = findEndpoint(incarnation);
+    return tracked == nullptr ? std::nullopt : tracked->limiter.requestLimit();
+}
+
 std::vector<tracked_endpoint *> gateway_state::endpointsOf(const queue_id &queueId)
 {
     std::vector<tracked_endpoint *> result;
@@ -161,6 +167,7 @@
 {
     nlohmann::json endpoints = nlohmann::json::array();
     for (const auto &[incarnation, tracked] : trackedEndpoints) {
+        const std::optional<request_rate> &limit = tracked.limiter.requestLimit();
         endpoints.push_back({ { "endpoint", incarnation.endpoint.value() },
                               { "service", tracked.limiter.entry().service.value() },
                               { "zone", tracked.limiter.entry().zone.value() },
@@ -168,7 +175,8 @@
                               { "listed", tracked.limiter.isListed() },
                               { "in_flight", tracked.limiter.inFlight() },
                               { "load", tracked.limiter.estimatedLoad(now) },
-                              { "slowness", tracked.limiter.slowness() } });
+                              { "slowness", tracked.limiter.slowness() },
+                              { "request_limit", limit ? nlohmann::json(limit->value()) : nlohmann::json() } });
     }
     const nlohmann::json document = { { "config_version", routes ? nlohmann::json(routes->version()) : nlohmann::json() },
                                       { "unfinished", requests.size() },
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -138,6 +138,8 @@
     split_chooser trafficSplits;
     typical_run_times runTimes;
     load_recorder loadRecorder;
+    /** Requests sent to endpoints with a request limit, since they were last taken. */
+    std::map<endpoint_id, limited_endpoint_load> limitedLoads;
     std::uint64_t lastRequest = 0;
     std::uint64_t lastAttempt = 0;
     std::uint32_t instances = 0;
@@ -148,6 +150,8 @@
     void setInstances(std::uint32_t count);
 
     tracked_endpoint *findEndpoint(const endpoint_incarnation &incarnation);
+    /** Request limit that the endpoint names, if it is tracked and names one. */
+    std::optional<request_rate> requestLimitOf(const endpoint_incarnation &incarnation);
     std::vector<tracked_endpoint *> endpointsOf(const queue_id &queueId);
     void updateEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints);
     /** Removes endpoints that are not listed any more and have no requests in flight. */
--- a/libs/gateway/endpoint_limiter.cpp
+++ b/libs/gateway/endpoint_limiter.cpp
@@ -96,6 +96,11 @@
     return m_inFlight;
 }
 
+const std::optional<request_rate> &endpoint_limiter::requestLimit() const noexcept
+{
+    return m_requestLimit.rate();
+}
+
 bool endpoint_limiter::hasFreshReport(monotonic_time now) const noexcept
 {
     return m_loadReportedAt && now - *m_loadReportedAt < loadReportLifetime;
@@ -168,6 +173,7 @@
     m_consecutiveFull = 0;
     m_hasAnswered = true;
     m_blockedUntil = {};
+    recordRequestLimit(reply, now);
     recordLoadReport(reply, now);
     const bool failure = reply.response.status >= 500;
     countOutcome(failure);
@@ -189,6 +195,7 @@
 {
     --m_inFlight;
     --m_inFlightChangeSinceReport;
+    recordRequestLimit(reply, now);
     recordLoadReport(reply, now);
     countOutcome(true);
     if (m_use == sender_mode::sole_sender && (refusedDespiteFreeSlots(reply) || reply.kind == reply_kind::failed)) {
@@ -220,6 +227,13 @@
     m_failureShare += outcomeWeight * ((failure ? 1 : 0) - m_failureShare);
 }
 
+void endpoint_limiter::recordRequestLimit(const endpoint_reply &reply, monotonic_time now)
+{
+    if (hasResponse(reply)) {
+        m_requestLimit.recordResponse(reply.requestLimit, now);
+    }
+}
+
 void endpoint_limiter::recordLoadReport(const endpoint_reply &reply, monotonic_time now)
 {
     if (reply.load) {
--- a/libs/gateway/endpoint_limiter.h
+++ b/libs/gateway/endpoint_limiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/endpoint_directory.h"
+#include "gateway/endpoint_request_limit.h"
 #include "gateway/gateway_request.h"
 
 #include <cstdint>
@@ -50,6 +51,9 @@
 
     std::uint32_t inFlight() const noexcept;
 
+    /** Request limit that the endpoint names, if any. */
+    const std::optional<request_rate> &requestLimit() const noexcept;
+
     /** Estimated number of requests at the endpoint, including those of other instances. */
     double estimatedLoad(monotonic_time now) const noexcept;
 
@@ -88,6 +92,7 @@
     double knownSlowness() const noexcept;
     double coldFactor(monotonic_time now) const noexcept;
     void countOutcome(bool failure);
+    void recordRequestLimit(const endpoint_reply &reply, monotonic_time now);
     void recordLoadReport(const endpoint_reply &reply, monotonic_time now);
     bool hasFreshReport(monotonic_time now) const noexcept;
 
@@ -95,6 +100,7 @@
     endpoint_entry m_entry;
     monotonic_time m_coldUntil{};
     bool m_listed = true;
+    endpoint_request_limit m_requestLimit;
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_consecutiveFailures = 0;
     /** Consecutive requests that the endpoint refused because it was full. */
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -306,6 +306,22 @@
     return d->loadRecorder.takeReports(d->settings.instance);
 }
 
+std::vector<limited_endpoint_load> gateway::takeLimitedEndpointLoads()
+{
+    std::vector<limited_endpoint_load> loads;
+    for (const auto &item : std::exchange(d->limitedLoads, {})) {
+        loads.push_back(item.second);
+    }
+    return loads;
+}
+
+std::size_t gateway::limitedEndpoints() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(d->trackedEndpoints.begin(), d->trackedEndpoints.end(), [](const auto &item) {
+        return item.second.limiter.requestLimit().has_value();
+    }));
+}
+
 std::string gateway::dump(monotonic_time now) const
 {
     return d->dump(now);
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -53,6 +53,16 @@
     std::uint64_t permitIdBase = 0;
 };
 
+/** Requests that one instance sent to an endpoint that names a request limit. */
+struct limited_endpoint_load {
+    endpoint_id endpoint;
+    request_rate limit;
+    /** First attempts of callers' requests. */
+    std::uint32_t firstAttempts = 0;
+    /** Attempts at requests that were sent before, to this or another endpoint. */
+    std::uint32_t retries = 0;
+};
+
 /** Receives decisions about requests for the event log. */
 using gateway_log = std::function<void(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)>;
 
@@ -116,6 +126,12 @@
     /** Returns the demand for keys and the run times and failures of endpoints since the last call. */
     std::vector<load_report> takeLoadReports();
 
+    /** Returns the requests sent to endpoints with a request limit since the last call; endpoints without requests are left out. */
+    std::vector<limited_endpoint_load> takeLimitedEndpointLoads();
+
+    /** Number of endpoints that name a request limit at present. */
+    std::size_t limitedEndpoints() const noexcept;
+
     /** Returns the state as JSON. */
     std::string dump(monotonic_time now) const;
 
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -29,7 +29,11 @@
     attempts.erase(found);
     const endpoint_incarnation endpoint = pending.endpoint;
     returnPermit(pending, permitResult(reply), now);
+    const std::optional<request_rate> limitBefore = requestLimitOf(endpoint);
     recordReply(pending, reply, now);
+    if (const std::optional<request_rate> limit = requestLimitOf(endpoint); limit != limitBefore) {
+        logRequestLimit(endpoint, limit);
+    }
     handleReply(pending, std::move(reply), now);
     sendQueued(detail::queue_id(endpoint), now);
     if (const detail::tracked_endpoint *tracked = findEndpoint(endpoint)) {
@@ -61,6 +65,11 @@
     }
 }
 
+void gateway::impl::logRequestLimit(const endpoint_incarnation &endpoint, const std::optional<request_rate> &limit) const
+{
+    log("endpoint_request_limit", { { "endpoint", endpoint.endpoint.value() }, { "per_second", limit ? std::to_string(limit->value()) : "none" } });
+}
+
 void gateway::impl::handleReply(unanswered_request &pending, endpoint_reply reply, monotonic_time now)
 {
     pending.state = request_state::parked;
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -27,6 +27,9 @@
     http_request message;
 };
 
+/** A number of requests per second. */
+using request_rate = strong_value<struct request_rate_tag, double>;
+
 /** Load that an endpoint reports. */
 struct endpoint_load {
     std::uint32_t running = 0;
@@ -53,10 +56,18 @@
     /** Why the attempt failed. */
     result_code code = result_code::ok;
     std::optional<endpoint_load> load;
-    /** Set if answered. */
+    /** Requests a second that the endpoint takes from all instances together, if its response names a limit. */
+    std::optional<request_rate> requestLimit;
+    /** Set if answered; otherwise only the status, which is 0 without a valid response. */
     http_response response;
 };
 
+/** Returns whether the endpoint sent a valid response, also one that refuses the request. Thread-safe. */
+inline bool hasResponse(const endpoint_reply &reply) noexcept
+{
+    return reply.response.status != 0;
+}
+
 /** Returns whether the endpoint refused the request although it reports free worker slots. Thread-safe. */
 inline bool refusedDespiteFreeSlots(const endpoint_reply &reply) noexcept
 {
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -146,9 +146,21 @@
     pending.triedEndpoints.insert(pending.endpoint.endpoint);
     attempts.emplace(pending.attempt, pending.id);
     tracked.limiter.sent();
+    recordLimitedSend(pending, tracked.limiter);
     port.send(pending.attempt, tracked.limiter.entry(), pending.request, pending.deadline - now);
 }
 
+void gateway::impl::recordLimitedSend(const unanswered_request &pending, const endpoint_limiter &limiter)
+{
+    if (!limiter.requestLimit()) {
+        return;
+    }
+    limited_endpoint_load &load = limitedLoads[pending.endpoint.endpoint];
+    load.endpoint = pending.endpoint.endpoint;
+    load.limit = *limiter.requestLimit();
+    ++(pending.attempts == 1 ? load.firstAttempts : load.retries);
+}
+
 void gateway::impl::sendQueuedFor(const endpoint_incarnation &endpoint, monotonic_time now)
 {
     sendQueued(detail::queue_id(endpoint), now);
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -111,3 +111,20 @@
     cr_expect_eq(unknown.status, 504U);
     cr_expect(findField(unknown.fields, "Retry-After") == nullptr);
 }
+
+// Guards against a request limit that is not understood, or that is taken from a field that holds no rate.
+Test(request_codec, reads_the_request_limit_of_an_endpoint)
+{
+    const auto limit = [](std::uint32_t status, const std::string &text) {
+        return platform::decodeReply(
+                   answered(status, { { "Response-Signature", "s" }, { "Attempt-Id", "id1" }, { "Not-Executed", "1" }, { "Server-Limit", text } }),
+                   request_id("id1"))
+            .requestLimit;
+    };
+    cr_expect(limit(200, "11.5") == request_rate(11.5));
+    cr_expect(limit(503, "2") == request_rate(2));
+    cr_expect(limit(200, "0") == request_rate(0));
+    for (const char *malformed : { "", "-1", "nan", "inf", "3 per second", "1e999" }) {
+        cr_expect_not(limit(200, malformed).has_value(), "%s", malformed);
+    }
+}
