--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -31,6 +31,14 @@
     availability_zone zone;
     double slowness = 1;
     double refusalShare = 0;
+    struct arrival {
+        monotonic_time at;
+        std::size_t instance = 0;
+    };
+    std::optional<request_rate> requestLimit;
+    std::vector<arrival> arrivals;
+    /** When each instance first received a response that names the limit. */
+    std::map<std::size_t, monotonic_time> limitKnownSince;
     std::uint32_t running = 0;
     std::deque<attempt> queue;
     std::map<std::uint64_t, attempt> started;
@@ -220,6 +228,37 @@
     m_endpoints[endpoint]->refusalShare = share;
 }
 
+void permit_simulation::setRequestLimit(std::size_t endpoint, std::optional<request_rate> limit)
+{
+    m_endpoints[endpoint]->requestLimit = limit;
+}
+
+double permit_simulation::excessOverRequestLimit(std::size_t index) const
+{
+    const simulated_endpoint &endpoint = *m_endpoints[index];
+    if (endpoint.limitKnownSince.empty()) {
+        return 0;
+    }
+    monotonic_time firstNamed = monotonic_time::max();
+    for (const auto &[instance, since] : endpoint.limitKnownSince) {
+        firstNamed = std::min(firstNamed, since);
+    }
+    std::deque<monotonic_time> window;
+    std::size_t most = 0;
+    for (const auto &[at, instance] : endpoint.arrivals) {
+        const auto known = endpoint.limitKnownSince.find(instance);
+        if (at < firstNamed + std::chrono::seconds(3) || known == endpoint.limitKnownSince.end() || at < known->second + std::chrono::milliseconds(500)) {
+            continue;
+        }
+        window.push_back(at);
+        while (window.front() <= at - std::chrono::seconds(4)) {
+            window.pop_front();
+        }
+        most = std::max(most, window.size());
+    }
+    return static_cast<double>(most) - (6 * endpoint.requestLimit->value() + 5);
+}
+
 std::size_t permit_simulation::coordinatorOf(std::size_t endpoint) const
 {
     permit_request request;
@@ -334,13 +373,16 @@
 void permit_simulation::requestArrived(std::size_t request, std::size_t instance, endpoint_attempt_id attempt, std::size_t index)
 {
     simulated_endpoint &endpoint = *m_endpoints[index];
+    endpoint.arrivals.push_back({ m_now, instance });
     const bool refuses = std::uniform_real_distribution<double>(0, 1)(m_random) < endpoint.refusalShare;
     if (refuses) {
         endpoint_reply refused;
         refused.kind = reply_kind::not_run;
         refused.code = result_code::refused_by_server;
+        refused.response.status = 503;
+        refused.requestLimit = endpoint.requestLimit;
         refused.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
-        reply(instance, attempt, refused);
+        reply(instance, attempt, index, refused);
         return;
     }
     if (endpoint.running >= m_settings.slots && endpoint.queue.size() >= m_settings.queue) {
@@ -382,14 +424,18 @@
     answer.kind = reply_kind::answered;
     answer.response.status = 200;
     answer.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
-    reply(ended.instance, ended.id, answer);
+    answer.requestLimit = endpoint.requestLimit;
+    reply(ended.instance, ended.id, index, answer);
 }
 
-void permit_simulation::reply(std::size_t index, endpoint_attempt_id attempt, const endpoint_reply &answer)
+void permit_simulation::reply(std::size_t index, endpoint_attempt_id attempt, std::size_t endpoint, const endpoint_reply &answer)
 {
-    schedule(m_now + networkDelay, [this, index, attempt, answer] {
+    schedule(m_now + networkDelay, [this, index, attempt, endpoint, answer] {
         simulated_instance &instance = *m_instances[index];
         if (instance.up) {
+            if (answer.requestLimit) {
+                m_endpoints[endpoint]->limitKnownSince.try_emplace(index, m_now);
+            }
             instance.router->replied(attempt, answer, m_now);
             scheduleAdvance(index);
         }
--- a/tests/unit/permits/permit_simulation.h
+++ b/tests/unit/permits/permit_simulation.h
@@ -79,6 +79,13 @@
     void setSlowness(std::size_t endpoint, double slowness);
     /** Sets the share of the requests that the endpoint refuses although it has free worker slots. */
     void setRefusalShare(std::size_t endpoint, double share);
+    /** The endpoint names this request limit in its responses from now on, or none. It runs what it gets all the same. */
+    void setRequestLimit(std::size_t endpoint, std::optional<request_rate> limit);
+    /**
+     * Returns the highest number of requests that reached @p endpoint in some 4 s beyond the 6 times its limit and 5 requests that are
+     * allowed, from 3 s after it first named the limit. Requests of instances that learned of the limit less than 0.5 s earlier do not count.
+     */
+    double excessOverRequestLimit(std::size_t endpoint) const;
     std::size_t ownerOf(std::uint16_t key) const;
 
     /** Crashes the instance: its callers are lost, and it no longer responds. */
@@ -126,7 +133,7 @@
     void requestArrived(std::size_t request, std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint);
     void startNext(std::size_t endpoint);
     void finish(std::size_t endpoint, std::uint64_t run);
-    void reply(std::size_t instance, endpoint_attempt_id attempt, const endpoint_reply &reply);
+    void reply(std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint, const endpoint_reply &reply);
     void abort(std::size_t instance, endpoint_attempt_id attempt);
 
     simulation_settings m_settings;
