Pace requests to endpoints that name a request limit

Cause: a limit on what all instances send together was decided by each instance alone. No decision used the field, and the only bound, that on requests in flight, belongs to one instance.

Change: the coordinator of an endpoint's queue paces its permits by the limit (endpoint_request_limit), and all sites need permits for such endpoints, so that relays publish the instances of small zones too. The limit reaches coordinators with returned permits and with requests for permits. A second or third coordinator, or an instance without one, has its own small part of the limit, which holds whoever else grants permits.

Result: request_limit_test, which failed before, and its new test of a restarted coordinator (fails with 1 request too many if a second coordinator has the whole limit) pass.

--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -41,6 +41,8 @@
     void cancel(gateway_request_id id, monotonic_time now);
     void advance(monotonic_time now);
     void wake(unanswered_request &pending, monotonic_time now);
+    /** Schedules all requests of a queue of this instance again. */
+    void rescheduleQueue(const detail::queue_id &queueId, monotonic_time now);
     /** Schedules waiting requests whose endpoint is no longer the right one, after the owners of keys or the endpoints changed. */
     void rescheduleWaiting(monotonic_time now);
 
@@ -54,6 +56,8 @@
      * request waits in the first zone as long as the answer is useful. Returns false if no zone has endpoints.
      */
     bool chooseZone(const unanswered_request &pending, permit_request &permitRequest);
+    /** Sets what is known of the request limits of the endpoints of the queue. */
+    void setRequestLimit(permit_request &permitRequest, const detail::queue_id &queueId, monotonic_time now);
     bool mayAskOtherZone(const unanswered_request &pending);
     /** Ends the wait for @p permit and returns its request, or nullptr if none waits for it. */
     unanswered_request *takeAwaitingPermit(permit_id permit);
@@ -83,7 +87,8 @@
     // Outcomes of attempts and answers to callers. Defined in gateway_replies.cpp.
     void replied(endpoint_attempt_id attempt, endpoint_reply reply, monotonic_time now);
     void recordReply(const unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
-    void logRequestLimit(const endpoint_incarnation &endpoint, const std::optional<request_rate> &limit) const;
+    /** Logs a change of the endpoint's request limit. If it had none before, the requests queued for it need permits from now on. */
+    void handleRequestLimit(const endpoint_incarnation &endpoint, const std::optional<request_rate> &before, monotonic_time now);
     void handleReply(unanswered_request &pending, endpoint_reply reply, monotonic_time now);
     void handleFailure(unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
     void handleNotRun(unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -8,6 +8,14 @@
 namespace sycamoretray::detail
 {
 
+namespace
+{
+
+// Assumed number of instances before it is known.
+constexpr std::uint32_t initialInstances = 16;
+
+} // namespace
+
 gateway_state::gateway_state(gateway_settings givenSettings, endpoint_port &givenPort, gateway_log givenLog)
     : settings(std::move(givenSettings))
     , port(givenPort)
@@ -32,6 +40,9 @@
     for (auto &[service, each] : retryBudgets) {
         each.setInstances(count);
     }
+    for (auto &[incarnation, tracked] : trackedEndpoints) {
+        tracked.limiter.setInstances(count);
+    }
 }
 
 tracked_endpoint *gateway_state::findEndpoint(const endpoint_incarnation &incarnation)
@@ -71,6 +82,7 @@
         const endpoint_incarnation &incarnation = endpoint.entry.incarnation;
         const auto [position, inserted] = trackedEndpoints.try_emplace(incarnation, endpoint);
         position->second.limiter.update(endpoint);
+        position->second.limiter.setInstances(instances > 0 ? instances : initialInstances);
         position->second.stateSince = endpoint.stateSince;
         services[endpoint.entry.service].push_back(endpoint);
     }
--- a/libs/gateway/endpoint_limiter.cpp
+++ b/libs/gateway/endpoint_limiter.cpp
@@ -41,6 +41,7 @@
 endpoint_limiter::endpoint_limiter(const listed_endpoint &endpoint, sender_mode use)
     : m_use(use)
 {
+    m_requestLimit.setRole(use == sender_mode::sole_sender ? limit_role::first_coordinator : limit_role::single_instance);
     update(endpoint);
 }
 
@@ -73,7 +74,7 @@
 
 bool endpoint_limiter::hasCapacity(monotonic_time now) const noexcept
 {
-    if (now < m_blockedUntil) {
+    if (now < blockedUntil()) {
         return false;
     }
     if (m_inFlight == 0) {
@@ -88,7 +89,7 @@
 
 monotonic_time endpoint_limiter::blockedUntil() const noexcept
 {
-    return m_blockedUntil;
+    return std::max(m_blockedUntil, m_requestLimit.nextRequestAt());
 }
 
 std::uint32_t endpoint_limiter::inFlight() const noexcept
@@ -101,6 +102,31 @@
     return m_requestLimit.rate();
 }
 
+std::optional<known_request_limit> endpoint_limiter::knownRequestLimit(monotonic_time now) const
+{
+    return m_requestLimit.known(now);
+}
+
+void endpoint_limiter::recordKnownLimit(const known_request_limit &known, monotonic_time now)
+{
+    m_requestLimit.recordKnown(known, now);
+}
+
+std::optional<request_rate> endpoint_limiter::usableRate() const noexcept
+{
+    return m_requestLimit.usableRate();
+}
+
+void endpoint_limiter::setLimitRole(limit_role role)
+{
+    m_requestLimit.setRole(role);
+}
+
+void endpoint_limiter::setInstances(std::uint32_t instances)
+{
+    m_requestLimit.setInstances(instances);
+}
+
 bool endpoint_limiter::hasFreshReport(monotonic_time now) const noexcept
 {
     return m_loadReportedAt && now - *m_loadReportedAt < loadReportLifetime;
@@ -159,8 +185,9 @@
     return std::chrono::duration_cast<time_span>(typicalRunTime * (currentSlowness(now) * queueFactor(now)));
 }
 
-void endpoint_limiter::sent()
+void endpoint_limiter::sent(monotonic_time now)
 {
+    m_requestLimit.recordSent(now);
     ++m_inFlight;
     ++m_inFlightChangeSinceReport;
 }
--- a/libs/gateway/endpoint_limiter.h
+++ b/libs/gateway/endpoint_limiter.h
@@ -46,7 +46,7 @@
     /** True if a request may be sent now. */
     bool hasCapacity(monotonic_time now) const noexcept;
 
-    /** End of the backoff after a failure: hasCapacity() is false before. */
+    /** End of the backoff after a failure, or of the wait for the request limit: hasCapacity() is false before. */
     monotonic_time blockedUntil() const noexcept;
 
     std::uint32_t inFlight() const noexcept;
@@ -54,6 +54,21 @@
     /** Request limit that the endpoint names, if any. */
     const std::optional<request_rate> &requestLimit() const noexcept;
 
+    /** What other instances may be told of the request limit. */
+    std::optional<known_request_limit> knownRequestLimit(monotonic_time now) const;
+
+    /** Records what another instance knows of the request limit. */
+    void recordKnownLimit(const known_request_limit &known, monotonic_time now);
+
+    /** Requests a second that may be sent from here; nothing if the endpoint names no limit. */
+    std::optional<request_rate> usableRate() const noexcept;
+
+    /** Sets in which role the request limit is used; by default first_coordinator for a sole sender, otherwise single_instance. */
+    void setLimitRole(limit_role role);
+
+    /** Sets the number of instances that may send to the endpoint without coordination. */
+    void setInstances(std::uint32_t instances);
+
     /** Estimated number of requests at the endpoint, including those of other instances. */
     double estimatedLoad(monotonic_time now) const noexcept;
 
@@ -72,7 +87,7 @@
     /** Expected time from sending to the answer of a request with the given typical run time. */
     time_span expectedTime(time_span typicalRunTime, monotonic_time now) const noexcept;
 
-    void sent();
+    void sent(monotonic_time now);
 
     /**
      * Records the answer to a request.
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -197,6 +197,22 @@
     }
 }
 
+void gateway::impl::rescheduleQueue(const detail::queue_id &queueId, monotonic_time now)
+{
+    const auto queue = queues.find(queueId);
+    if (queue == queues.end()) {
+        return;
+    }
+    const std::vector<detail::queue_position> positions(queue->second.begin(), queue->second.end());
+    for (const detail::queue_position &position : positions) {
+        // Scheduling one request can send others of the same queue, which then must not be scheduled again.
+        const auto found = requests.find(position.id);
+        if (found != requests.end() && found->second->state == request_state::queued) {
+            schedule(*found->second, now);
+        }
+    }
+}
+
 gateway::gateway(gateway_settings settings, endpoint_port &port, gateway_log log)
     : d(std::make_unique<impl>(std::move(settings), port, std::move(log)))
 {
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -40,6 +40,7 @@
     if (!pending.byKey && !chooseZone(pending, permitRequest)) {
         return false;
     }
+    setRequestLimit(permitRequest, queueId, now);
     if (!permits->isUsed(permitRequest)) {
         return false;
     }
@@ -52,6 +53,17 @@
     return true;
 }
 
+void gateway::impl::setRequestLimit(permit_request &permitRequest, const detail::queue_id &queueId, monotonic_time now)
+{
+    for (const detail::tracked_endpoint *tracked : endpointsOf(queueId)) {
+        const auto known = tracked->limiter.knownRequestLimit(now);
+        permitRequest.limited = permitRequest.limited || known;
+        if (permitRequest.owner) {
+            permitRequest.ownerLimit = known;
+        }
+    }
+}
+
 time_span gateway::impl::answerTimeLimit(const unanswered_request &pending, double targetFactor, monotonic_time now)
 {
     const auto target = std::chrono::duration_cast<time_span>(pending.route.latencyTarget * targetFactor);
@@ -164,7 +176,7 @@
 
 permit_result gateway::impl::permitResult(const endpoint_reply &reply)
 {
-    return { true, reply.kind, reply.sent, reply.misdirected, reply.response.status, reply.load };
+    return { true, reply.kind, reply.sent, reply.misdirected, reply.response.status, reply.load, reply.requestLimit };
 }
 
 } // namespace sycamoretray
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -31,10 +31,8 @@
     returnPermit(pending, permitResult(reply), now);
     const std::optional<request_rate> limitBefore = requestLimitOf(endpoint);
     recordReply(pending, reply, now);
-    if (const std::optional<request_rate> limit = requestLimitOf(endpoint); limit != limitBefore) {
-        logRequestLimit(endpoint, limit);
-    }
     handleReply(pending, std::move(reply), now);
+    handleRequestLimit(endpoint, limitBefore, now);
     sendQueued(detail::queue_id(endpoint), now);
     if (const detail::tracked_endpoint *tracked = findEndpoint(endpoint)) {
         sendQueued(detail::queue_id(tracked->limiter.entry().service), now);
@@ -65,9 +63,17 @@
     }
 }
 
-void gateway::impl::logRequestLimit(const endpoint_incarnation &endpoint, const std::optional<request_rate> &limit) const
+void gateway::impl::handleRequestLimit(const endpoint_incarnation &endpoint, const std::optional<request_rate> &before, monotonic_time now)
 {
+    const std::optional<request_rate> limit = requestLimitOf(endpoint);
+    if (limit == before) {
+        return;
+    }
     log("endpoint_request_limit", { { "endpoint", endpoint.endpoint.value() }, { "per_second", limit ? std::to_string(limit->value()) : "none" } });
+    if (!before) {
+        rescheduleQueue(detail::queue_id(endpoint), now);
+        rescheduleQueue(detail::queue_id(findEndpoint(endpoint)->limiter.entry().service), now);
+    }
 }
 
 void gateway::impl::handleReply(unanswered_request &pending, endpoint_reply reply, monotonic_time now)
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -54,13 +54,15 @@
         anyCapacity = anyCapacity || (ahead == 0 && tracked->limiter.hasCapacity(now));
         unblockedAt = std::min(unblockedAt, tracked->limiter.blockedUntil());
         const time_span each = tracked->limiter.expectedTime(runTimes.of(pending.route), now);
-        rate += 1 / std::max(1.0, static_cast<double>(each.count()));
+        const double perSecond = 1 / std::max(0.000001, std::chrono::duration<double>(each).count());
+        const auto usable = tracked->limiter.usableRate();
+        rate += usable ? std::min(perSecond, usable->value()) : perSecond;
     }
     if (anyCapacity || rate <= 0) {
         return time_span::zero();
     }
     const time_span untilUnblocked = unblockedAt == monotonic_time::max() ? time_span::zero() : std::max(time_span::zero(), unblockedAt - now);
-    return std::max(untilUnblocked, time_span(static_cast<std::int64_t>((static_cast<double>(ahead) + 0.5) / rate)));
+    return std::max(untilUnblocked, std::chrono::duration_cast<time_span>(std::chrono::duration<double>((static_cast<double>(ahead) + 0.5) / rate)));
 }
 
 void gateway::impl::park(unanswered_request &pending, const key_owner &owner, monotonic_time now)
@@ -145,7 +147,7 @@
     ++pending.attempts;
     pending.triedEndpoints.insert(pending.endpoint.endpoint);
     attempts.emplace(pending.attempt, pending.id);
-    tracked.limiter.sent();
+    tracked.limiter.sent(now);
     recordLimitedSend(pending, tracked.limiter);
     port.send(pending.attempt, tracked.limiter.entry(), pending.request, pending.deadline - now);
 }
--- a/libs/gateway/permit_source.h
+++ b/libs/gateway/permit_source.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/monotonic_time.h"
 #include "directory/endpoint_entry.h"
+#include "gateway/endpoint_request_limit.h"
 #include "gateway/gateway_request.h"
 
 #include <cstdint>
@@ -33,6 +34,12 @@
     time_span maxAnswerTime{};
     /** Endpoints that were tried before; used only if there is no other. */
     std::vector<endpoint_id> triedEndpoints;
+    /** An endpoint that may be used names a request limit, which the instances can keep only together. Not passed to the coordinator. */
+    bool limited = false;
+    /** What this instance knows of the request limit of the owner. */
+    std::optional<known_request_limit> ownerLimit;
+    /** Role of the coordinator that is asked, set by the permit client. */
+    limit_role role = limit_role::first_coordinator;
 };
 
 /** Outcome of the attempt for which a permit was used. */
@@ -44,6 +51,8 @@
     bool misdirected = false;
     std::uint32_t status = 0;
     std::optional<endpoint_load> load;
+    /** Request limit that the endpoint named in its response. */
+    std::optional<request_rate> requestLimit;
 };
 
 /**
@@ -56,7 +65,7 @@
 public:
     virtual ~permit_source() = default;
 
-    /** False if the request is sent without a permit, because there are few instances or no coordinator can be asked. */
+    /** False if the request is sent without a permit: no coordinator can be asked, or there are few instances and no request limit. */
     virtual bool isUsed(const permit_request &request) const = 0;
 
     virtual void ask(const permit_request &request, monotonic_time now) = 0;
--- a/libs/permits/instance_list_tracker.cpp
+++ b/libs/permits/instance_list_tracker.cpp
@@ -14,8 +14,6 @@
 // Shorter than minPublishInterval, because many instances start together when a site starts.
 constexpr time_span minPublishIntervalOnGrowth = std::chrono::milliseconds(800);
 constexpr double significantGrowthFactor = 1.25;
-// With fewer instances in a zone, no permits are requested, and the list is not needed.
-constexpr std::size_t minInstances = 5;
 
 } // namespace
 
@@ -56,7 +54,7 @@
         return std::find(published.begin(), published.end(), each) != published.end();
     };
     const bool unchanged = list.size() == published.size() && std::all_of(list.begin(), list.end(), isPublished);
-    if (unchanged || (published.empty() && list.size() < minInstances)) {
+    if (unchanged) {
         return std::nullopt;
     }
     const bool grew = static_cast<double>(list.size()) >= static_cast<double>(published.size()) * significantGrowthFactor;
--- a/libs/permits/permit_client.cpp
+++ b/libs/permits/permit_client.cpp
@@ -3,6 +3,8 @@
 #include "permits/permit_coordinator.h"
 
 #include <algorithm>
+#include <array>
+#include <tuple>
 #include <utility>
 
 namespace sycamoretray
@@ -44,21 +46,24 @@
     return found != m_excludedUntil.end() && m_now < found->second;
 }
 
-network_address permit_client::coordinatorFor(const permit_request &request) const
+std::optional<std::pair<network_address, limit_role>> permit_client::coordinatorFor(const permit_request &request) const
 {
+    constexpr std::array<limit_role, maxCoordinators> roles{ limit_role::first_coordinator, limit_role::second_coordinator, limit_role::further_coordinator };
+    std::size_t rank = 0;
     const availability_zone zone = request.owner ? m_settings.zoneOf(*request.owner).value_or(request.zone) : request.zone;
     for (const network_address &each :
          rankCoordinators(request.owner ? m_candidates : m_strongestCandidates, zone, permit_pool_name(request).text(), maxCoordinators)) {
         if (!isExcluded(each)) {
-            return each;
+            return std::pair(each, roles[rank]);
         }
+        ++rank;
     }
-    return {};
+    return std::nullopt;
 }
 
 bool permit_client::isUsed(const permit_request &request) const
 {
-    return m_largeSite && !(coordinatorFor(request) == network_address());
+    return (m_largeSite || request.limited) && coordinatorFor(request).has_value();
 }
 
 void permit_client::ask(const permit_request &request, monotonic_time now)
@@ -67,20 +72,22 @@
     open_permit &permit = m_permits[request.id];
     permit.request = request;
     permit.usefulUntil = now + request.maxAnswerTime;
-    permit.coordinator = coordinatorFor(request);
+    // isUsed() was true at this time, so there is a coordinator.
+    std::tie(permit.coordinator, permit.request.role) = coordinatorFor(request).value();
     send(request.id, permit, now);
 }
 
 void permit_client::requestFromCoordinator(permit_id id, open_permit &permit, monotonic_time now)
 {
-    permit.coordinator = coordinatorFor(permit.request);
     permit.sends = 0;
     permit.state = permit_state::requested;
-    if (permit.coordinator == network_address()) {
+    const auto coordinator = coordinatorFor(permit.request);
+    if (!coordinator) {
         forget(id);
         m_observer.unavailable(id, now);
         return;
     }
+    std::tie(permit.coordinator, permit.request.role) = *coordinator;
     send(id, permit, now);
 }
 
--- a/libs/permits/permit_client.h
+++ b/libs/permits/permit_client.h
@@ -5,7 +5,9 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 
 namespace sycamoretray
 {
@@ -68,7 +70,8 @@
         permit_result result;
     };
 
-    network_address coordinatorFor(const permit_request &request) const;
+    /** Returns the highest-ranked coordinator that is not excluded, and its role; nothing if there is none. */
+    std::optional<std::pair<network_address, limit_role>> coordinatorFor(const permit_request &request) const;
     bool isExcluded(const network_address &instance) const;
     /** Sends the request to the highest-ranked coordinator that is not excluded, or reports that there is none. */
     void requestFromCoordinator(permit_id id, open_permit &permit, monotonic_time now);
--- a/libs/permits/permit_message.cpp
+++ b/libs/permits/permit_message.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace sycamoretray
 {
 
@@ -44,6 +46,8 @@
         tried.push_back(endpoint.value());
     }
     result.push_back(std::move(tried));
+    result.push_back(request.ownerLimit ? json::array({ request.ownerLimit->rate.value(), request.ownerLimit->age.count() }) : json());
+    result.push_back(static_cast<int>(request.role));
     return result;
 }
 
@@ -57,6 +61,7 @@
     encoded.push_back(result.misdirected);
     encoded.push_back(result.status);
     encoded.push_back(result.load ? json::array({ result.load->running, result.load->waiting, result.load->workerSlots }) : json());
+    encoded.push_back(result.requestLimit ? json(result.requestLimit->value()) : json());
     return encoded;
 }
 
@@ -92,6 +97,33 @@
     return encodeHeader(message_kind::return_acknowledgement, message.id);
 }
 
+request_rate decodeRate(const json &number)
+{
+    const auto rate = number.get<double>();
+    if (!std::isfinite(rate) || rate < 0) {
+        throw json::other_error::create(501, "invalid rate", nullptr);
+    }
+    return request_rate(rate);
+}
+
+known_request_limit decodeKnownLimit(const json &limit)
+{
+    const time_span age(limit.at(1).get<std::int64_t>());
+    if (age < time_span::zero()) {
+        throw json::other_error::create(501, "invalid age", nullptr);
+    }
+    return { decodeRate(limit.at(0)), age };
+}
+
+limit_role decodeLimitRole(int number)
+{
+    const auto role = static_cast<limit_role>(number);
+    if (role != limit_role::first_coordinator && role != limit_role::second_coordinator && role != limit_role::further_coordinator) {
+        throw json::other_error::create(501, "unknown role of a coordinator", nullptr);
+    }
+    return role;
+}
+
 permit_request_message decodeRequest(permit_id id, const json &message)
 {
     permit_request request;
@@ -110,6 +142,10 @@
     for (const json &endpoint : message.at(9)) {
         request.triedEndpoints.emplace_back(endpoint.get<std::string>());
     }
+    if (const json &limit = message.at(10); !limit.is_null()) {
+        request.ownerLimit = decodeKnownLimit(limit);
+    }
+    request.role = decodeLimitRole(message.at(11).get<int>());
     return { request };
 }
 
@@ -134,6 +170,9 @@
     if (const json &load = message.at(7); !load.is_null()) {
         result.result.load = endpoint_load{ load.at(0).get<std::uint32_t>(), load.at(1).get<std::uint32_t>(), load.at(2).get<std::uint32_t>() };
     }
+    if (const json &limit = message.at(8); !limit.is_null()) {
+        result.result.requestLimit = decodeRate(limit);
+    }
     return result;
 }
 
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -22,6 +22,7 @@
 // An endpoint that was already tried for a request is used again only if all others are slower by this factor.
 constexpr double triedEndpointPenalty = 5;
 constexpr double minSlowness = 0.1;
+constexpr double minRunSeconds = 0.000001;
 
 } // namespace
 
@@ -53,11 +54,26 @@
 
 void permit_pool::enqueue(const permit_holder &holder, const permit_request &request, monotonic_time now)
 {
+    updateLimits(request, now);
     const queue_ticket ticket = m_queue.add(request.priority, request.key, request.typicalRunTime);
     m_waiting.emplace(ticket, waiting_entry{ holder, request, now + request.maxAnswerTime, now });
     m_tickets[holder] = ticket;
 }
 
+void permit_pool::updateLimits(const permit_request &request, monotonic_time now)
+{
+    for (auto &[incarnation, endpoint] : m_endpoints) {
+        endpoint.limiter.setLimitRole(request.role);
+    }
+    if (!request.owner || !request.ownerLimit) {
+        return;
+    }
+    const auto found = m_endpoints.find(*request.owner);
+    if (found != m_endpoints.end()) {
+        found->second.limiter.recordKnownLimit(*request.ownerLimit, now);
+    }
+}
+
 bool permit_pool::refresh(const permit_holder &holder, monotonic_time now)
 {
     const auto found = m_tickets.find(holder);
@@ -101,6 +117,7 @@
     reply.misdirected = result.misdirected;
     reply.response.status = result.status;
     reply.load = result.load;
+    reply.requestLimit = result.requestLimit;
     if (!result.finished) {
         endpoint.limiter.aborted(used.started ? now - *used.started : time_span::zero(), used.typicalRunTime);
     } else if (result.kind == reply_kind::answered) {
@@ -150,7 +167,7 @@
     const time_span typicalRunTime = entry.request.typicalRunTime;
     m_used[entry.holder] = { incarnation, typicalRunTime, std::nullopt, now + std::max(minExpiry, typicalRunTime * expiryInTypicalRunTimes) };
     endpoint.used.push_back(entry.holder);
-    endpoint.limiter.sent();
+    endpoint.limiter.sent(now);
     markRunning(endpoint, now);
     return { entry.holder, incarnation };
 }
@@ -206,16 +223,43 @@
 permit_pool::pool_throughput permit_pool::throughput(monotonic_time now) const
 {
     pool_throughput result;
+    bool first = true;
     for (const auto &[incarnation, endpoint] : m_endpoints) {
         if (endpoint.limiter.isListed()) {
             const double each = slowness(endpoint, now);
-            result.lowestSlowness = result.slots == 0 ? each : std::min(result.lowestSlowness, each);
-            result.slots += endpoint.limiter.entry().workerSlots / std::max(minSlowness, each);
+            const double slots = endpoint.limiter.entry().workerSlots / std::max(minSlowness, each);
+            result.lowestSlowness = first ? each : std::min(result.lowestSlowness, each);
+            first = false;
+            if (const auto rate = endpoint.limiter.usableRate()) {
+                result.limited.push_back({ slots, rate->value() });
+                result.limitedUntil = std::min(result.limitedUntil, endpoint.limiter.blockedUntil());
+            } else {
+                result.slots += slots;
+            }
         }
     }
     return result;
 }
 
+time_span permit_pool::expectedWait(const pool_throughput &present, double requestsAhead, time_span typicalRunTime, monotonic_time now)
+{
+    const double runSeconds = std::max(minRunSeconds, std::chrono::duration<double>(typicalRunTime).count());
+    double perSecond = present.slots / runSeconds;
+    for (const limited_slots &each : present.limited) {
+        perSecond += std::min(each.slots / runSeconds, each.perSecond);
+    }
+    if (perSecond <= 0) {
+        return maxRetryAfter;
+    }
+    time_span untilUsable{};
+    if (present.slots == 0) {
+        // The first request is sent as soon as a limit allows it, the others follow at the rate of the limits.
+        untilUsable = std::max(time_span::zero(), present.limitedUntil - now);
+        requestsAhead -= 1;
+    }
+    return untilUsable + std::chrono::duration_cast<time_span>(std::chrono::duration<double>(requestsAhead / perSecond));
+}
+
 void permit_pool::refuseExpectedLate(std::vector<permit_decision> &decisions, monotonic_time now)
 {
     std::vector<std::pair<queue_ticket, time_span>> expectedLate;
@@ -225,7 +269,7 @@
     m_queue.forEach([&](queue_ticket ticket) {
         const waiting_entry &entry = m_waiting.at(ticket);
         const time_span typicalRunTime = entry.request.typicalRunTime;
-        const auto wait = present.slots > 0 ? std::chrono::duration_cast<time_span>(typicalRunTime * (requestsAhead / present.slots)) : maxRetryAfter;
+        const time_span wait = expectedWait(present, requestsAhead, typicalRunTime, now);
         const auto work = std::chrono::duration_cast<time_span>(typicalRunTime * present.lowestSlowness);
         if (now + wait + work > entry.usefulUntil) {
             expectedLate.emplace_back(ticket, wait);
--- a/libs/permits/permit_pool.h
+++ b/libs/permits/permit_pool.h
@@ -102,13 +102,25 @@
         std::list<permit_holder> used;
     };
 
+    /** Throughput of an endpoint with a request limit, by its worker slots of typical speed and by its limit. */
+    struct limited_slots {
+        double slots = 0;
+        double perSecond = 0;
+    };
+
     struct pool_throughput {
-        /** Number of worker slots of typical speed with the same throughput. */
+        /** Number of worker slots of typical speed with the same throughput as the endpoints without a request limit. */
         double slots = 0;
+        /** Endpoints with a request limit. */
+        std::vector<limited_slots> limited;
+        /** Time from which one of the endpoints with a request limit can be used. */
+        monotonic_time limitedUntil = monotonic_time::max();
         /** Slowness of the fastest endpoint. */
         double lowestSlowness = 1;
     };
 
+    /** Applies what the requesting instance knows: the role of this coordinator, and the request limit of the owner. */
+    void updateLimits(const permit_request &request, monotonic_time now);
     pool_endpoint *chooseEndpoint(const permit_request &request, monotonic_time now);
     granted_permit grant(pool_endpoint &endpoint, const waiting_entry &entry, monotonic_time now);
     /** Sets the start time of the requests that have got a worker slot. */
@@ -116,6 +128,8 @@
     /** Current run time of requests as a multiple of their typical run time. */
     double slowness(const pool_endpoint &endpoint, monotonic_time now) const;
     pool_throughput throughput(monotonic_time now) const;
+    /** Time until a request with @p requestsAhead before it can be sent. */
+    static time_span expectedWait(const pool_throughput &present, double requestsAhead, time_span typicalRunTime, monotonic_time now);
     void releaseExpired(monotonic_time now);
     void refuseExpectedLate(std::vector<permit_decision> &decisions, monotonic_time now);
 
--- a/tests/unit/gateway/endpoint_limiter_test.cpp
+++ b/tests/unit/gateway/endpoint_limiter_test.cpp
@@ -23,7 +23,7 @@
     for (monotonic_time now = start; now < start + 1s; now += 1ms) {
         if (limiter.hasCapacity(now)) {
             ++asked;
-            limiter.sent();
+            limiter.sent(now);
             limiter.failed(refusalOfFullEndpoint(), now);
         }
     }
@@ -50,13 +50,13 @@
     endpoint_limiter limiter{ listed_endpoint{} };
     const monotonic_time start(10s);
     refusalsInOneSecond(limiter, start);
-    limiter.sent();
+    limiter.sent(start + 1s);
     endpoint_reply answer;
     answer.kind = reply_kind::answered;
     answer.response.status = 200;
     limiter.answered(answer, 50ms, 50ms, start + 1s);
     cr_expect(limiter.hasCapacity(start + 1s));
-    limiter.sent();
+    limiter.sent(start + 1s);
     limiter.failed(refusalOfFullEndpoint(), start + 1s);
     cr_expect(limiter.hasCapacity(start + 1s + 60ms), "the backoff starts again at its initial value");
 }
--- a/tests/unit/permits/permit_parts_test.cpp
+++ b/tests/unit/permits/permit_parts_test.cpp
@@ -162,16 +162,20 @@
     request.typicalRunTime = 260ms;
     request.maxAnswerTime = -5ms;
     request.triedEndpoints = { endpoint_id("f"), endpoint_id("g") };
+    request.ownerLimit = known_request_limit{ request_rate(1.5), 20ms };
+    request.role = limit_role::further_coordinator;
     const auto decoded = decodePermitMessage(encodePermitMessage(permit_request_message{ request }));
     cr_assert(decoded && std::holds_alternative<permit_request_message>(*decoded));
     const permit_request &read = std::get<permit_request_message>(*decoded).request;
     cr_expect(read.id == request.id && read.service == request.service && *read.owner == *request.owner && read.zone == request.zone);
     cr_expect(read.key == request.key && read.priority == 2 && read.typicalRunTime == request.typicalRunTime && read.maxAnswerTime == request.maxAnswerTime
               && read.triedEndpoints == request.triedEndpoints);
-    const permit_result result{ true, reply_kind::not_run, true, false, 503, endpoint_load{ 1, 2, 3 } };
+    cr_expect(read.ownerLimit && read.ownerLimit->rate == request_rate(1.5) && read.ownerLimit->age == 20ms && read.role == request.role);
+    const permit_result result{ true, reply_kind::not_run, true, false, 503, endpoint_load{ 1, 2, 3 }, request_rate(11.5) };
     const auto returned = decodePermitMessage(encodePermitMessage(permit_return{ permit_id(7), result }));
     cr_assert(returned && std::holds_alternative<permit_return>(*returned));
     cr_expect_eq(std::get<permit_return>(*returned).result.load->waiting, 2U);
+    cr_expect(std::get<permit_return>(*returned).result.requestLimit == request_rate(11.5));
 }
 
 // A malformed datagram must not terminate the process. Decodes 20,000 mutations of valid messages, with a fixed seed.
--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -60,6 +60,8 @@
         gateway_settings settings;
         settings.instance = instance_id("i" + std::to_string(index));
         settings.zone = zone;
+        // Permits and attempts of an earlier process at the same address must not be mistaken for those of this one.
+        settings.permitIdBase = givenSimulation.m_ended.size() << 32U;
         router = std::make_unique<gateway>(settings, *this, [](std::string_view, const auto &) {});
         router->setPermits(client);
     }
@@ -274,6 +276,19 @@
     }
 }
 
+void permit_simulation::restart(std::size_t instance)
+{
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        // The endpoint drops the requests of closed connections.
+        const auto ofEnded = [&](const simulated_endpoint::attempt &each) {
+            return each.instance == instance;
+        };
+        removeAttempts(i, ofEnded);
+    }
+    m_ended.push_back(std::exchange(m_instances[instance], std::make_unique<simulated_instance>(*this, instance)));
+    publish(*m_instances[instance]);
+}
+
 void permit_simulation::resign(std::size_t instance)
 {
     m_instances[instance]->coordinator.resign();
@@ -445,18 +460,23 @@
 void permit_simulation::abort(std::size_t instance, endpoint_attempt_id attempt)
 {
     for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
-        simulated_endpoint &endpoint = *m_endpoints[i];
-        const auto isAborted = [&](const simulated_endpoint::attempt &each) {
+        removeAttempts(i, [&](const simulated_endpoint::attempt &each) {
             return each.instance == instance && each.id == attempt;
-        };
-        std::erase_if(endpoint.queue, isAborted);
-        const auto erased = std::erase_if(endpoint.started, [&](const auto &item) {
-            return isAborted(item.second);
         });
-        endpoint.running -= static_cast<std::uint32_t>(erased);
-        if (erased > 0) {
-            startNext(i);
-        }
+    }
+}
+
+template<class Condition>
+void permit_simulation::removeAttempts(std::size_t index, Condition condition)
+{
+    simulated_endpoint &endpoint = *m_endpoints[index];
+    std::erase_if(endpoint.queue, condition);
+    const auto erased = std::erase_if(endpoint.started, [&](const auto &item) {
+        return condition(item.second);
+    });
+    endpoint.running -= static_cast<std::uint32_t>(erased);
+    if (erased > 0) {
+        startNext(index);
     }
 }
 
--- a/tests/unit/permits/permit_simulation.h
+++ b/tests/unit/permits/permit_simulation.h
@@ -90,6 +90,8 @@
 
     /** Crashes the instance: its callers are lost, and it no longer responds. */
     void crash(std::size_t instance);
+    /** Starts the instance again after crash(), with no memory of before. */
+    void restart(std::size_t instance);
     /** Starts a planned stop: the waiting requests of the instance are handed over. */
     void resign(std::size_t instance);
     /** Returns the index of the instance that is the permit coordinator of an endpoint. */
@@ -135,6 +137,9 @@
     void finish(std::size_t endpoint, std::uint64_t run);
     void reply(std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint, const endpoint_reply &reply);
     void abort(std::size_t instance, endpoint_attempt_id attempt);
+    /** Drops the attempts at an endpoint that meet the condition. */
+    template<class Condition>
+    void removeAttempts(std::size_t endpoint, Condition condition);
 
     simulation_settings m_settings;
     monotonic_time m_now{ std::chrono::seconds(10) };
@@ -143,6 +148,8 @@
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<simulated_endpoint>> m_endpoints;
     std::vector<std::unique_ptr<simulated_instance>> m_instances;
+    /** Instances that were replaced; events may still refer to them. */
+    std::vector<std::unique_ptr<simulated_instance>> m_ended;
     std::map<network_address, std::size_t> m_addresses;
     std::vector<simulated_request> m_requests;
     coordinator_candidates m_candidates;
--- a/tests/unit/permits/request_limit_test.cpp
+++ b/tests/unit/permits/request_limit_test.cpp
@@ -93,6 +93,27 @@
     }
 }
 
+// Guards against two coordinators of one queue that each grant the whole limit: the first one restarts soon, and only some instances know.
+Test(request_limit, holds_while_a_coordinator_restarts)
+{
+    for (const std::size_t instances : { 12U, 60U }) {
+        permit_simulation simulation(site(instances));
+        // Only the endpoints that name a limit get requests.
+        simulation.drawKey = [](std::mt19937_64 &random) {
+            return static_cast<std::uint16_t>(std::uniform_int_distribution<std::uint32_t>(0, keyCount / 2 - 1)(random));
+        };
+        runWithLimits(simulation, [](permit_simulation &running) {
+            const std::size_t restarted = running.coordinatorOf(1);
+            running.resign(restarted);
+            running.runArrivals(500ms);
+            running.crash(restarted);
+            running.runArrivals(500ms);
+            running.restart(restarted);
+        });
+        expectWithinLimits(simulation);
+    }
+}
+
 // Guards against instances that send without a permit when messages between instances are lost.
 Test(request_limit, holds_while_messages_are_lost)
 {
