Move keys off endpoints whose request limit is below their demand

Cause: the planner knew worker slots and run times only, so that an endpoint with a low request limit kept its keys while others were idle.

Change: load reports carry the limit, and the planner takes the worker slots that the limit leaves idle for slow ones.

--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -31,6 +31,7 @@
     returnPermit(pending, permitResult(reply), now);
     const std::optional<request_rate> limitBefore = requestLimitOf(endpoint);
     recordReply(pending, reply, now);
+    loadRecorder.recordRequestLimit(pending.service, endpoint.endpoint, requestLimitOf(endpoint));
     handleReply(pending, std::move(reply), now);
     handleRequestLimit(endpoint, limitBefore, now);
     sendQueued(detail::queue_id(endpoint), now);
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "base/request_rate.h"
 #include "base/result_code.h"
 #include "http_message/http_message.h"
 
@@ -27,9 +28,6 @@
     http_request message;
 };
 
-/** A number of requests per second. */
-using request_rate = strong_value<struct request_rate_tag, double>;
-
 /** Load that an endpoint reports. */
 struct endpoint_load {
     std::uint32_t running = 0;
--- a/libs/gateway/load_recorder.cpp
+++ b/libs/gateway/load_recorder.cpp
@@ -23,6 +23,14 @@
     ++m_services[service].endpoints[endpoint].failures;
 }
 
+void load_recorder::recordRequestLimit(const service_id &service, const endpoint_id &endpoint, const std::optional<request_rate> &limit)
+{
+    const auto work = m_services[service].endpoints.find(endpoint);
+    if (work != m_services[service].endpoints.end()) {
+        work->second.requestLimit = limit;
+    }
+}
+
 std::vector<load_report> load_recorder::takeReports(const instance_id &instance)
 {
     std::vector<load_report> reports;
--- a/libs/gateway/load_recorder.h
+++ b/libs/gateway/load_recorder.h
@@ -3,6 +3,7 @@
 #include "key_ownership/key_load.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace sycamoretray
@@ -20,6 +21,8 @@
     void recordDemand(const service_id &service, key_number key, time_span work);
     void recordAnswer(const service_id &service, const endpoint_id &endpoint, time_span measured, time_span expected);
     void recordFailure(const service_id &service, const endpoint_id &endpoint);
+    /** Sets the request limit of an endpoint, if the report has any of its requests. */
+    void recordRequestLimit(const service_id &service, const endpoint_id &endpoint, const std::optional<request_rate> &limit);
 
     /** Returns a report for each service with requests since the last call. */
     std::vector<load_report> takeReports(const instance_id &instance);
--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -114,6 +114,8 @@
     void reassign(assignment &subject, const endpoint_incarnation &owner, std::string_view reason, monotonic_time now);
     void settle(assignment &subject, monotonic_time now);
     bool mayAssign(monotonic_time now) const;
+    /** Slowness of an endpoint for the planner, with failures and the request limit counted in. */
+    double plannedSlowness(const endpoint_id &endpoint, double slots) const;
     plan_input planInput(monotonic_time now) const;
     void plan(monotonic_time now);
     /** Assigns new tokens where the owner has seen a higher token than that of its grant. */
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -108,6 +108,20 @@
     return anyOwner || now - lastEndpointAddedAt >= settings.initialAssignmentDelay;
 }
 
+double key_assigner::impl::plannedSlowness(const endpoint_id &endpoint, double slots) const
+{
+    // Failed requests are retried, so failures reduce the useful work of an endpoint accordingly.
+    const double slowness = load.slowness(endpoint) / (1 - load.failureShare(endpoint) * 0.9);
+    const auto limit = load.requestLimit(endpoint);
+    const double meanWork = load.meanWork();
+    if (!limit || meanWork <= 0) {
+        return slowness;
+    }
+    // A request limit leaves worker slots idle, which for its keys is the same as slow ones.
+    constexpr double minLimit = 0.1;
+    return std::max(slowness, slots / (std::max(minLimit, limit->value()) * meanWork));
+}
+
 key_assigner::impl::plan_input key_assigner::impl::planInput(monotonic_time now) const
 {
     plan_input input;
@@ -117,10 +131,8 @@
             const endpoint_id &id = endpoint.entry.incarnation.endpoint;
             indexes[endpoint.entry.incarnation] = input.incarnations.size();
             input.incarnations.push_back(endpoint.entry.incarnation);
-            // Failed requests are retried, so failures reduce the useful work of an endpoint accordingly.
-            const double slowness = load.slowness(id) / (1 - load.failureShare(id) * 0.9);
-            input.endpoints.push_back(
-                { static_cast<double>(std::max(1U, endpoint.entry.workerSlots)), slowness, now < endpoint.stateSince + endpoint.entry.warmupRemaining });
+            const double slots = std::max(1U, endpoint.entry.workerSlots);
+            input.endpoints.push_back({ slots, plannedSlowness(id, slots), now < endpoint.stateSince + endpoint.entry.warmupRemaining });
         }
     }
     for (const assignment &each : assignments) {
--- a/libs/key_ownership/key_load.cpp
+++ b/libs/key_ownership/key_load.cpp
@@ -29,6 +29,11 @@
     return std::chrono::duration<double>(span).count();
 }
 
+std::optional<request_rate> decodeLimit(const json &limit)
+{
+    return limit.is_null() ? std::nullopt : std::optional(request_rate(limit.get<double>()));
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report)
@@ -40,7 +45,8 @@
     }
     json endpoints = json::array();
     for (const endpoint_work &each : report.endpoints) {
-        endpoints.push_back(json::array({ each.endpoint.value(), each.requests, each.measured.count(), each.expected.count(), each.failures }));
+        const json limit = each.requestLimit ? json(each.requestLimit->value()) : json();
+        endpoints.push_back(json::array({ each.endpoint.value(), each.requests, each.measured.count(), each.expected.count(), each.failures, limit }));
     }
     return encodeCbor(json::array({ report.instance.value(), report.service.value(), std::move(keys), std::move(endpoints) }));
 }
@@ -61,7 +67,8 @@
                                          row.at(1).get<std::uint32_t>(),
                                          time_span(row.at(2).get<std::int64_t>()),
                                          time_span(row.at(3).get<std::int64_t>()),
-                                         row.at(4).get<std::uint32_t>() });
+                                         row.at(4).get<std::uint32_t>(),
+                                         decodeLimit(row.at(5)) });
         }
         return report;
     } catch (const json::exception &) {
@@ -85,6 +92,7 @@
         average.expected += seconds(each.expected);
         average.requests += each.requests;
         average.failures += each.failures;
+        average.requestLimit = each.requestLimit;
     }
     m_instances[report.instance] = now;
 }
@@ -147,6 +155,12 @@
     return found->second.failures / (found->second.requests + found->second.failures + assumedRequestCount);
 }
 
+std::optional<request_rate> key_load::requestLimit(const endpoint_id &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? std::nullopt : found->second.requestLimit;
+}
+
 double key_load::meanWork() const
 {
     double work = 0;
--- a/libs/key_ownership/key_load.h
+++ b/libs/key_ownership/key_load.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "base/request_rate.h"
 #include "key_ownership/ownership_record.h"
 
 #include <cstdint>
@@ -25,6 +26,8 @@
     time_span expected{};
     /** Requests that failed at the endpoint or were refused by it. */
     std::uint32_t failures = 0;
+    /** Request limit that the endpoint names, if any. */
+    std::optional<request_rate> requestLimit;
 };
 
 /** Demand for one key during a report interval. */
@@ -81,6 +84,9 @@
     /** Returns the fraction of requests that fail at @p endpoint; 0 without any reports. */
     double failureShare(const endpoint_id &endpoint) const;
 
+    /** Returns the request limit that @p endpoint named in its last responses, if any. */
+    std::optional<request_rate> requestLimit(const endpoint_id &endpoint) const;
+
     /** Returns the number of instances with a recent report, at least 1. */
     std::uint32_t instances() const noexcept;
 
@@ -90,6 +96,7 @@
         double expected = 0;
         double requests = 0;
         double failures = 0;
+        std::optional<request_rate> requestLimit;
     };
 
     std::vector<float> m_demand;
--- a/tests/unit/key_ownership/range_planner_test.cpp
+++ b/tests/unit/key_ownership/range_planner_test.cpp
@@ -176,7 +176,7 @@
         for (std::uint32_t i = 0; i < arrived; ++i) {
             report.keys.push_back({ key_number(static_cast<std::uint16_t>(anyKey(random))), work });
         }
-        report.endpoints.push_back({ endpoint_id("e"), arrived, work * arrived, work * arrived, 0 });
+        report.endpoints.push_back({ endpoint_id("e"), arrived, work * arrived, work * arrived, 0, std::nullopt });
         load.advance(now);
         load.add(report, now);
         range_planner planner(load, std::vector<planning_endpoint>(endpointCount, { 2, 1, false }), evenRanges(endpointCount), {});
