Log the era of the store and reads beyond the end of a relay's copy

Change: replies of the store carry its era; followers log a change with their position, relays log reads beyond the end of their copy, a metric has the era. Nothing decides by it yet.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -231,6 +231,9 @@
     metrics.gauge("sycamoretray_permits_in_use", [this] {
         return static_cast<double>(permits.inUse());
     });
+    metrics.gauge("sycamoretray_store_era", [this] {
+        return static_cast<double>(feeds.era().value());
+    });
     metrics.gauge("sycamoretray_limited_endpoints", [this] {
         return static_cast<double>(router.limitedEndpoints());
     });
--- a/apps/sycamoretrayd/gateway/store_feeds.cpp
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -309,6 +309,11 @@
     return !d->failingTopics.empty();
 }
 
+store_era store_feeds::era() const noexcept
+{
+    return d->ownershipFeed.era();
+}
+
 log_offset store_feeds::ownershipPosition() const noexcept
 {
     return d->ownershipFeed.position();
--- a/apps/sycamoretrayd/gateway/store_feeds.h
+++ b/apps/sycamoretrayd/gateway/store_feeds.h
@@ -69,6 +69,8 @@
     const coordinator_candidates &instances() const noexcept;
     /** Returns whether reads of any topic fail at present. */
     bool isReadFailing() const noexcept;
+    /** Era of the store in its last answer about ownership records. */
+    store_era era() const noexcept;
     /** Offset up to which ownership records are known. */
     log_offset ownershipPosition() const noexcept;
 
--- a/apps/sycamoretrayd/gateway/topic_relay.cpp
+++ b/apps/sycamoretrayd/gateway/topic_relay.cpp
@@ -3,6 +3,7 @@
 #include "executor/steady_time.h"
 #include "http_entry/error_answer.h"
 #include "metadata_store/relay_codec.h"
+#include "observability/event_log.h"
 
 #include <algorithm>
 #include <charconv>
@@ -109,6 +110,14 @@
             handle->answer(errorAnswer(result_code::log_unavailable, {}));
             return;
         }
+        if (log_offset(*from) > copy->second.position()) {
+            logEvent(event_severity::warning,
+                     "read_beyond_end",
+                     { { "topic", topic },
+                       { "from", std::to_string(*from) },
+                       { "end", std::to_string(copy->second.position().value()) },
+                       { "reader", std::string(parameter(query, "reader").value_or("")) } });
+        }
         const std::uint64_t wait = std::min(numberParameter(query, "wait_ms").value_or(0), maxWaitMs);
         const keyed_read reply = copy->second.read(log_offset(*from));
         if (reply.result != store_result::ok || !reply.records.empty() || wait == 0) {
--- a/libs/base/ids.h
+++ b/libs/base/ids.h
@@ -36,6 +36,12 @@
 /** Position of a record in a stream of the log service. */
 using log_offset = strong_value<struct log_offset_tag, std::uint64_t>;
 
+/**
+ * Number of times that the store has returned from an older copy of its contents. Records appended after the copy was made are lost then, and
+ * their offsets are given out again, so that offsets are comparable only within one era.
+ */
+using store_era = strong_value<struct store_era_tag, std::uint64_t>;
+
 /** Offset of the home_claimed record that made an instance the home; 0 if there is no home. */
 using home_term = strong_value<struct home_term_tag, std::uint64_t>;
 
--- a/libs/metadata_store/keyed_topic_follower.cpp
+++ b/libs/metadata_store/keyed_topic_follower.cpp
@@ -33,6 +33,7 @@
     boost::asio::steady_timer timer;
     time_span retryDelay;
     log_offset position;
+    store_era era;
     /** The next read returns at once, to show whether the store answers again after a failure or a restart. */
     bool nextReadProbes = false;
     bool failing = false;
@@ -78,6 +79,7 @@
             return;
         }
         handleSuccess();
+        recordEra(page.era);
         const bool first = listing.empty();
         if (first) {
             // Records appended while later pages are listed may be missing, so reading continues from the end of the first page.
@@ -90,7 +92,11 @@
         }
         position = listingEnd;
         hasListing = true;
-        logEvent("topic_listed", { { "topic", topic }, { "records", std::to_string(listing.size()) }, { "end", std::to_string(position.value()) } });
+        logEvent("topic_listed",
+                 { { "topic", topic },
+                   { "records", std::to_string(listing.size()) },
+                   { "end", std::to_string(position.value()) },
+                   { "era", std::to_string(era.value()) } });
         observer.onListed(std::exchange(listing, {}), listingEnd);
         scheduleAfter(store->readSpacing(), &impl::read);
     }
@@ -110,6 +116,7 @@
     {
         activeRead.reset();
         if (reply.result == store_result::expired) {
+            recordEra(reply.era);
             logEvent(event_severity::warning, "topic_history_lost", { { "topic", topic }, { "position", std::to_string(position.value()) } });
             list();
             return;
@@ -120,6 +127,7 @@
             return;
         }
         handleSuccess();
+        recordEra(reply.era);
         position = std::max(position, reply.next);
         const time_span spacing = reply.records.empty() ? settings.spacingAfterEmptyRead : store->readSpacing();
         if (!reply.records.empty()) {
@@ -140,6 +148,20 @@
         retryDelay = std::min(retryDelay * 2, settings.maxRetryDelay);
     }
 
+    void recordEra(store_era answered)
+    {
+        if (answered == era) {
+            return;
+        }
+        logEvent(event_severity::warning,
+                 "store_era_changed",
+                 { { "topic", topic },
+                   { "before", std::to_string(era.value()) },
+                   { "after", std::to_string(answered.value()) },
+                   { "position", std::to_string(position.value()) } });
+        era = answered;
+    }
+
     void handleSuccess()
     {
         retryDelay = settings.initialRetryDelay;
@@ -191,6 +213,11 @@
     d->restart();
 }
 
+store_era keyed_topic_follower::era() const noexcept
+{
+    return d->era;
+}
+
 log_offset keyed_topic_follower::position() const noexcept
 {
     return d->position;
--- a/libs/metadata_store/keyed_topic_follower.h
+++ b/libs/metadata_store/keyed_topic_follower.h
@@ -60,6 +60,9 @@
     /** Offset up to which all records have been delivered; 0 before the first listing. */
     log_offset position() const noexcept;
 
+    /** Era of the store in its last answer. */
+    store_era era() const noexcept;
+
 private:
     struct impl;
     std::shared_ptr<impl> d;
--- a/libs/metadata_store/metadata_store.h
+++ b/libs/metadata_store/metadata_store.h
@@ -45,6 +45,7 @@
     log_offset end;
     /** Offset at which the next read continues. */
     log_offset next;
+    store_era era;
 };
 
 struct keyed_listing {
@@ -52,6 +53,7 @@
     std::vector<keyed_record> records;
     bool more = false;
     log_offset end;
+    store_era era;
 };
 
 /** Identifies an append, so that a retry has no second effect and a superseded writer is refused. */
--- a/tests/unit/platform/store_codec_test.cpp
+++ b/tests/unit/platform/store_codec_test.cpp
@@ -75,3 +75,17 @@
     cr_expect_eq(join.partitions[0], 3U);
     cr_expect(platform::decodeJoin(reply(200, R"({"Generation":7,"parts":[[1]]})"), "t").result == store_result::unknown);
 }
+
+// Guards against a restored store whose offsets are taken for those of before.
+Test(store_codec, reads_the_era_of_the_store)
+{
+    http_response read = reply(200, std::string(16, '\0'));
+    cr_expect_eq(platform::decodeRead(read, log_offset(0)).era, store_era(0), "a store without eras");
+    read.fields.push_back({ "Store-Era", "3" });
+    cr_expect_eq(platform::decodeRead(read, log_offset(0)).era, store_era(3));
+    read.status = 410;
+    cr_expect_eq(platform::decodeRead(read, log_offset(0)).era, store_era(3));
+    http_response listing = reply(200, R"({"items":[],"More":false,"End":9})");
+    listing.fields.push_back({ "Store-Era", "4" });
+    cr_expect_eq(platform::decodeListing(listing).era, store_era(4));
+}
