Follow topics by era and offset, so that a restored store is noticed

Cause: offsets were taken for positions in a history that only grows. The restored store gives them out again, so that a reader waits at its relay at an offset that does not exist, without an error; a follower skips records that have the offsets of lost ones; the directory ignores records below the offset of a lost one; and records of this system, once acknowledged, were never written again. Instances that read the store itself get an error as long as it has not reached their offset, so that small sites hardly show it.

Change: a position is an era of the store (Store-Era) and an offset, in followers, in relays and between them; a reader of another era lists the topic again, a relay behind its reader refuses. A listing of a new era does not bring back endpoints that drain or have left. Relays, lists of instances and ownership records are written again; epochs and fencing tokens start above all those of earlier eras.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -278,6 +278,10 @@
         permits.setCandidates(feeds.instances());
         router.setInstances(static_cast<std::uint32_t>(candidateCount(feeds.instances())));
     };
+    observer.storeRestored = [this] {
+        ownership.storeRestored();
+        instancePublisher.storeRestored();
+    };
     observer.ownershipChanged = [this] {
         router.setOwnership(feeds.ownership(), steadyNow());
         chooseRelay();
--- a/apps/sycamoretrayd/gateway/instance_publisher.cpp
+++ b/apps/sycamoretrayd/gateway/instance_publisher.cpp
@@ -21,10 +21,15 @@
     m_listTracker.recordSeen(instance, weight, now);
 }
 
+void instance_publisher::storeRestored()
+{
+    m_listLost = true;
+}
+
 void instance_publisher::update(bool isRelay, const coordinator_candidates &published, monotonic_time now)
 {
     const auto known = published.find(m_zone);
-    const std::vector<coordinator_candidate> list = known == published.end() ? std::vector<coordinator_candidate>() : known->second;
+    const std::vector<coordinator_candidate> list = known == published.end() || m_listLost ? std::vector<coordinator_candidate>() : known->second;
     if (isRelay && !m_censusRunning) {
         m_listTracker.start(list, now);
     }
@@ -37,6 +42,7 @@
     if (!due) {
         return;
     }
+    m_listLost = false;
     logEvent("instances_published", { { "zone", m_zone.value() }, { "instances", std::to_string(due->size()) } });
     m_store.append(platform::ownershipTopic, { { instancesKey(m_zone), encodeCandidates(*due) } }, std::nullopt, [](const append_reply &reply) {
         if (reply.result != store_result::ok) {
--- a/apps/sycamoretrayd/gateway/instance_publisher.h
+++ b/apps/sycamoretrayd/gateway/instance_publisher.h
@@ -29,12 +29,17 @@
      */
     void update(bool isRelay, const coordinator_candidates &published, monotonic_time now);
 
+    /** Has to be called when the store may have lost the published list, which is then published again. */
+    void storeRestored();
+
 private:
     metadata_store &m_store;
     availability_zone m_zone;
     coordinator_candidate m_self;
     instance_list_tracker m_listTracker;
     bool m_censusRunning = false;
+    /** The store may have lost the published list. */
+    bool m_listLost = false;
 };
 
 } // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -1,6 +1,7 @@
 #include "sycamoretrayd/gateway/ownership_runner.h"
 
 #include "executor/steady_time.h"
+#include "key_ownership/assigner_epoch.h"
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
 #include "key_ownership/ownership_parts.h"
@@ -68,11 +69,13 @@
     /** Group that elects the assigner; set while this instance is the relay of its zone. */
     std::unique_ptr<group_membership> assignerGroup;
     bool announcementPending = false;
+    /** Era of the store in which this instance announced itself as the relay. */
+    std::optional<store_era> announcedIn;
     std::uint64_t epoch = 0;
     /** Highest epoch known to be used by any instance. */
     std::uint64_t highestEpoch = 0;
     std::uint64_t nextSequence = 0;
-    log_offset claimEndOffset;
+    topic_position claimEnd;
     /** Assigner of the previous epoch. */
     network_address previousAssigner;
     bool previousAssignerStopped = true;
@@ -157,7 +160,7 @@
     void announceRelay()
     {
         const auto known = environment.feeds.relays().find(settings.zone);
-        const bool announced = known != environment.feeds.relays().end() && known->second == settings.internalAddress;
+        const bool announced = known != environment.feeds.relays().end() && known->second == settings.internalAddress && announcedIn == environment.feeds.era();
         if (steadyNow() - startedAt < groupFormationTime) {
             return;
         }
@@ -168,10 +171,15 @@
         environment.store.append(platform::ownershipTopic,
                                  { { relayKey(settings.zone), settings.internalAddress.value() } },
                                  std::nullopt,
-                                 [weak = weak_from_this()](const append_reply &) {
-                                     // The outcome does not matter: a missing record is written again after the next join.
-                                     if (const auto self = weak.lock()) {
-                                         self->announcementPending = false;
+                                 [weak = weak_from_this()](const append_reply &reply) {
+                                     const auto self = weak.lock();
+                                     if (!self) {
+                                         return;
+                                     }
+                                     // A record that was not written is written again after the next join.
+                                     self->announcementPending = false;
+                                     if (reply.result == store_result::ok) {
+                                         self->announcedIn = reply.end.era;
                                      }
                                  });
     }
@@ -182,6 +190,16 @@
         return zoneGroup->isLeader() && steadyNow() - answered < (forRelay ? relayDataMaxAgeForRelays : relayDataMaxAge) && !environment.feeds.isReadFailing();
     }
 
+    void storeRestored()
+    {
+        logEvent("records_written_again", { { "era", std::to_string(environment.feeds.era().value()) }, { "leads", isLeader() ? "true" : "false" } });
+        // The next confirmed join starts a claim with an epoch that is above the lost ones, after which all ownership records are written.
+        process(leadership_event::fenced);
+        if (zoneGroup) {
+            announceRelay();
+        }
+    }
+
     // --- leadership ---
 
     void process(leadership_event event)
@@ -212,8 +230,9 @@
         for (const auto &[service, record] : environment.feeds.ownership().records()) {
             highestEpoch = std::max(highestEpoch, record.epoch);
         }
-        epoch = ++highestEpoch;
-        claimEndOffset = log_offset(std::numeric_limits<std::uint64_t>::max());
+        highestEpoch = std::max(highestEpoch + 1, firstEpochOf(environment.feeds.era()));
+        epoch = highestEpoch;
+        claimEnd = { store_era(std::numeric_limits<std::uint64_t>::max()), {} };
         logEvent("assigner_claims", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
         environment.store.append(platform::ownershipTopic,
                                  {},
@@ -237,14 +256,14 @@
             return;
         }
         nextSequence = 0;
-        claimEndOffset = reply.end;
+        claimEnd = reply.end;
         finishClaim();
     }
 
     /** Starts to lead once all records of earlier epochs are known. */
     void finishClaim()
     {
-        if (environment.feeds.isComplete() && environment.feeds.ownershipPosition() >= claimEndOffset) {
+        if (environment.feeds.isComplete() && environment.feeds.ownershipPosition() >= claimEnd) {
             process(leadership_event::epoch_set);
         }
     }
@@ -510,6 +529,11 @@
     d->leave();
 }
 
+void ownership_runner::storeRestored()
+{
+    d->storeRestored();
+}
+
 void ownership_runner::directoryChanged()
 {
     d->directoryChanged();
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -59,6 +59,9 @@
     /** Stops assigning and leaves both groups. */
     void leave();
 
+    /** Has to be called when the store has returned from an older copy: writes again what this instance wrote there. */
+    void storeRestored();
+
     /** Has to be called when the endpoints or the services have changed. */
     void directoryChanged();
 
--- a/apps/sycamoretrayd/gateway/relayed_store.cpp
+++ b/apps/sycamoretrayd/gateway/relayed_store.cpp
@@ -154,7 +154,7 @@
                  { { "topic", topic }, { "relay", relay ? relay->value() : "" }, { "store", storeAnswers() ? "answers" : "lost" } });
     }
 
-    void readDirectly(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
+    void readDirectly(std::uint64_t id, const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done)
     {
         reads[id] = { nullptr, store.read(topic, from, wait, [weak = weak_from_this(), id, done = std::move(done)](keyed_read reply) {
                          if (const auto self = weak.lock()) {
@@ -165,11 +165,11 @@
                      }) };
     }
 
-    void readFromRelay(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
+    void readFromRelay(std::uint64_t id, const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done)
     {
         const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-        const std::string target
-            = "/v1/topics/read?topic=" + topic + "&from=" + std::to_string(from.value()) + "&wait_ms=" + std::to_string(milliseconds) + readerParameters();
+        const std::string target = "/v1/topics/read?topic=" + topic + "&from=" + std::to_string(from.offset.value())
+            + "&era=" + std::to_string(from.era.value()) + "&wait_ms=" + std::to_string(milliseconds) + readerParameters();
         const std::uint64_t innerId = sendToRelay(
             target, wait + relayTimeout, [weak = weak_from_this(), id, topic, from, wait, done = std::move(done)](const http_exchange_result &result) {
                 if (const auto self = weak.lock()) {
@@ -182,7 +182,7 @@
 
     void handleRelayRead(std::uint64_t id,
                          const std::string &topic,
-                         log_offset from,
+                         const topic_position &from,
                          time_span wait,
                          const http_exchange_result &result,
                          const std::function<void(keyed_read)> &done)
@@ -202,7 +202,12 @@
         readWithoutRelay(id, topic, from, wait, done, 0);
     }
 
-    void startReadLater(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, const std::function<void(keyed_read)> &done, int waits)
+    void startReadLater(std::uint64_t id,
+                        const std::string &topic,
+                        const topic_position &from,
+                        time_span wait,
+                        const std::function<void(keyed_read)> &done,
+                        int waits)
     {
         reads[id] = {};
         runLater([this, id, topic, from, wait, done, waits] {
@@ -253,7 +258,12 @@
         }
     }
 
-    void startRead(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, const std::function<void(keyed_read)> &done, int waits)
+    void startRead(std::uint64_t id,
+                   const std::string &topic,
+                   const topic_position &from,
+                   time_span wait,
+                   const std::function<void(keyed_read)> &done,
+                   int waits)
     {
         if (usesRelay()) {
             readFromRelay(id, topic, from, wait, done);
@@ -266,7 +276,12 @@
      * Reads from the store while the relay fails. The topic that names the relays is read first, and shows whether the store answers and
      * which instance is the new relay; the other topics wait for that.
      */
-    void readWithoutRelay(std::uint64_t id, const std::string &topic, log_offset from, time_span wait, const std::function<void(keyed_read)> &done, int waits)
+    void readWithoutRelay(std::uint64_t id,
+                          const std::string &topic,
+                          const topic_position &from,
+                          time_span wait,
+                          const std::function<void(keyed_read)> &done,
+                          int waits)
     {
         const bool namesRelays = topic == relayTopic;
         const bool storeUnverified = pool && !readsForOthers && !storeReached();
@@ -369,7 +384,7 @@
     return d->readsForOthers || d->usesRelay() ? d->store.readSpacing() : directReadSpacing;
 }
 
-std::uint64_t relayed_store::read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
+std::uint64_t relayed_store::read(const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done)
 {
     const std::uint64_t id = ++d->lastReadId;
     d->startRead(id, topic, from, wait, done, 0);
--- a/apps/sycamoretrayd/gateway/store_feeds.cpp
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -46,6 +46,8 @@
     bool configurationListed = false;
     bool allStarted = false;
     bool ownershipListed = false;
+    /** Era in which the ownership topic was last listed. */
+    store_era ownershipEra;
     keyed_topic_follower endpointFeed;
     keyed_topic_follower configurationFeed;
     keyed_topic_follower ownershipFeed;
@@ -64,7 +66,7 @@
     topic_observer withRelayCopy(const std::string &topic, topic_observer next)
     {
         topic_observer result;
-        result.onListed = [this, topic, next](const std::vector<keyed_record> &records, log_offset end) {
+        result.onListed = [this, topic, next](const std::vector<keyed_record> &records, const topic_position &end) {
             relay.copyOf(topic).setListing(records, end);
             relay.topicChanged(topic);
             next.onListed(records, end);
@@ -92,7 +94,7 @@
     topic_observer endpointObserver()
     {
         topic_observer result;
-        result.onListed = [this](const std::vector<keyed_record> &records, log_offset end) {
+        result.onListed = [this](const std::vector<keyed_record> &records, const topic_position &end) {
             std::vector<directory_record> listing;
             for (const keyed_record &record : records) {
                 directory_record decoded = endpointRecord(record);
@@ -101,7 +103,7 @@
                 }
             }
             endpointsListed = true;
-            directory.applyListing(listing, end, steadyNow());
+            directory.applyListing(listing, end.era, end.offset, steadyNow());
             observer.endpointsChanged();
         };
         result.onAppended = [this](const std::vector<keyed_record> &records) {
@@ -157,7 +159,7 @@
     topic_observer configurationObserver()
     {
         topic_observer result;
-        result.onListed = [this](const std::vector<keyed_record> &records, log_offset /*end*/) {
+        result.onListed = [this](const std::vector<keyed_record> &records, const topic_position & /*end*/) {
             configurationListed = true;
             applyConfiguration(records);
         };
@@ -215,9 +217,14 @@
     topic_observer ownershipObserver()
     {
         topic_observer result;
-        result.onListed = [this](const std::vector<keyed_record> &records, log_offset /*end*/) {
+        result.onListed = [this](const std::vector<keyed_record> &records, const topic_position &end) {
+            const bool restored = ownershipListed && end.era != ownershipEra;
             ownershipListed = true;
+            ownershipEra = end.era;
             applyOwnershipRecords(records);
+            if (restored) {
+                observer.storeRestored();
+            }
         };
         result.onAppended = [this](const std::vector<keyed_record> &records) {
             applyOwnershipRecords(records);
@@ -311,10 +318,10 @@
 
 store_era store_feeds::era() const noexcept
 {
-    return d->ownershipFeed.era();
+    return d->ownershipEra;
 }
 
-log_offset store_feeds::ownershipPosition() const noexcept
+const topic_position &store_feeds::ownershipPosition() const noexcept
 {
     return d->ownershipFeed.position();
 }
--- a/apps/sycamoretrayd/gateway/store_feeds.h
+++ b/apps/sycamoretrayd/gateway/store_feeds.h
@@ -21,6 +21,8 @@
     std::function<void()> ownershipChanged;
     std::function<void()> relaysChanged;
     std::function<void()> instancesChanged;
+    /** The store has returned from an older copy, which may lack records of this system. Called after the ownership topic was listed again. */
+    std::function<void()> storeRestored;
 };
 
 class topic_relay;
@@ -69,10 +71,10 @@
     const coordinator_candidates &instances() const noexcept;
     /** Returns whether reads of any topic fail at present. */
     bool isReadFailing() const noexcept;
-    /** Era of the store in its last answer about ownership records. */
+    /** Era of the store in which the ownership records were listed. */
     store_era era() const noexcept;
-    /** Offset up to which ownership records are known. */
-    log_offset ownershipPosition() const noexcept;
+    /** Position up to which ownership records are known. */
+    const topic_position &ownershipPosition() const noexcept;
 
 private:
     struct impl;
--- a/apps/sycamoretrayd/gateway/topic_relay.cpp
+++ b/apps/sycamoretrayd/gateway/topic_relay.cpp
@@ -66,7 +66,7 @@
 struct topic_relay::impl : std::enable_shared_from_this<impl> {
     struct waiting_read {
         std::string topic;
-        log_offset from;
+        topic_position from;
         monotonic_time deadline;
         std::shared_ptr<answer_handle> handle;
         bool readerIsRelay = false;
@@ -100,9 +100,10 @@
     void read(std::string_view query, const std::shared_ptr<answer_handle> &handle)
     {
         const std::string topic(parameter(query, "topic").value_or(""));
-        const auto from = numberParameter(query, "from");
+        const auto offset = numberParameter(query, "from");
+        const auto era = numberParameter(query, "era");
         const auto copy = copies.find(topic);
-        if (copy == copies.end() || !from) {
+        if (copy == copies.end() || !offset || !era) {
             handle->answer(errorAnswer(result_code::unknown_name, {}));
             return;
         }
@@ -110,24 +111,37 @@
             handle->answer(errorAnswer(result_code::log_unavailable, {}));
             return;
         }
-        if (log_offset(*from) > copy->second.position()) {
-            logEvent(event_severity::warning,
-                     "read_beyond_end",
-                     { { "topic", topic },
-                       { "from", std::to_string(*from) },
-                       { "end", std::to_string(copy->second.position().value()) },
-                       { "reader", std::string(parameter(query, "reader").value_or("")) } });
-        }
+        const topic_position from{ store_era(*era), log_offset(*offset) };
+        logIfBeyondEnd(topic, from, copy->second.position(), query);
         const std::uint64_t wait = std::min(numberParameter(query, "wait_ms").value_or(0), maxWaitMs);
-        const keyed_read reply = copy->second.read(log_offset(*from));
+        const keyed_read reply = copy->second.read(from);
+        if (reply.result == store_result::unavailable) {
+            handle->answer(errorAnswer(result_code::log_unavailable, {}));
+            return;
+        }
         if (reply.result != store_result::ok || !reply.records.empty() || wait == 0) {
             handle->answer(cborAnswer(encodeRead(reply)));
             return;
         }
-        waitingReads.push_back({ topic, log_offset(*from), steadyNow() + std::chrono::milliseconds(wait), handle, isRelayRequest(query) });
+        waitingReads.push_back({ topic, from, steadyNow() + std::chrono::milliseconds(wait), handle, isRelayRequest(query) });
         startExpiryChecks();
     }
 
+    static void logIfBeyondEnd(const std::string &topic, const topic_position &from, const topic_position &end, std::string_view query)
+    {
+        if (from <= end) {
+            return;
+        }
+        logEvent(event_severity::warning,
+                 "read_beyond_end",
+                 { { "topic", topic },
+                   { "from", std::to_string(from.offset.value()) },
+                   { "from_era", std::to_string(from.era.value()) },
+                   { "end", std::to_string(end.offset.value()) },
+                   { "end_era", std::to_string(end.era.value()) },
+                   { "reader", std::string(parameter(query, "reader").value_or("")) } });
+    }
+
     void reportReader(std::string_view query) const
     {
         const auto reader = parameter(query, "reader");
@@ -173,7 +187,7 @@
         const std::vector<waiting_read> due(std::make_move_iterator(kept), std::make_move_iterator(waitingReads.end()));
         waitingReads.erase(kept, waitingReads.end());
         // Most readers wait at the same offset and get the same encoded answer.
-        std::map<std::pair<std::string, log_offset>, std::string> encoded;
+        std::map<std::pair<std::string, topic_position>, std::string> encoded;
         for (const waiting_read &each : due) {
             if (!isUpToDate(each.readerIsRelay)) {
                 each.handle->answer(errorAnswer(result_code::log_unavailable, {}));
--- a/apps/sycamoretrayd/gateway/topic_relay.h
+++ b/apps/sycamoretrayd/gateway/topic_relay.h
@@ -13,7 +13,7 @@
 
 /**
  * Serves topics to other instances, so that a change costs one read of the store for each availability zone instead of one for each
- * instance. Handles GET /v1/topics/list?topic=T and GET /v1/topics/read?topic=T&from=N&wait_ms=N&reader=ADDRESS&weight=W; readers that
+ * instance. Handles GET /v1/topics/list?topic=T and GET /v1/topics/read?topic=T&from=N&era=N&wait_ms=N&reader=ADDRESS&weight=W; readers that
  * are relays themselves add &relay=1.
  *
  * Thread safety: none; used on the strand of the executor.
--- a/libs/directory/endpoint_directory.cpp
+++ b/libs/directory/endpoint_directory.cpp
@@ -7,6 +7,16 @@
 namespace sycamoretray
 {
 
+namespace
+{
+
+// Longer than the age of the copies from which a source is restored.
+constexpr time_span removalMemory = std::chrono::seconds(30);
+// An endpoint that still runs has written its entry again after this time, and the entry of one that has left has expired again.
+constexpr time_span postponement = std::chrono::seconds(4);
+
+} // namespace
+
 std::vector<listed_endpoint> usableForNewWork(const std::vector<listed_endpoint> &endpoints)
 {
     std::vector<listed_endpoint> registered;
@@ -23,6 +33,7 @@
 
 bool endpoint_directory::apply(const directory_record &record, monotonic_time now)
 {
+    m_postponed.erase(record.id);
     const auto known = m_endpoints.find(record.id);
     if (known != m_endpoints.end() && record.offset < known->second.offset) {
         return false;
@@ -34,13 +45,18 @@
     return record.entry ? insertOrUpdate(record, now) : remove(record.id, now);
 }
 
-bool endpoint_directory::applyListing(const std::vector<directory_record> &listing, log_offset end, monotonic_time now)
+bool endpoint_directory::applyListing(const std::vector<directory_record> &listing, store_era era, log_offset end, monotonic_time now)
 {
     bool changed = false;
+    const bool restored = m_era && era != *m_era;
+    if (restored) {
+        forgetOffsets(now);
+    }
+    m_era = era;
     std::set<endpoint_id> listed;
     for (const directory_record &record : listing) {
         listed.insert(record.id);
-        changed = apply(record, now) || changed;
+        changed = (restored ? applyOlder(record, now) : apply(record, now)) || changed;
     }
     std::vector<endpoint_id> removed;
     for (const auto &[id, known] : m_endpoints) {
@@ -54,6 +70,30 @@
     return changed;
 }
 
+void endpoint_directory::forgetOffsets(monotonic_time now)
+{
+    m_postponed.clear();
+    m_gracePeriodEnd = std::max(m_gracePeriodEnd.value_or(now), now + m_gracePeriod);
+    for (auto &[id, known] : m_endpoints) {
+        known.offset = log_offset();
+    }
+}
+
+bool endpoint_directory::applyOlder(const directory_record &record, monotonic_time now)
+{
+    const auto known = m_endpoints.find(record.id);
+    if (known != m_endpoints.end() && known->second.entry.draining && record.entry && record.entry->incarnation == known->second.entry.incarnation) {
+        return false;
+    }
+    const auto removed = m_removed.find(record.id);
+    const bool removedBefore = known == m_endpoints.end() && removed != m_removed.end() && now - removed->second.at < removalMemory;
+    if (removedBefore && record.entry && record.entry->incarnation.startedAtMs <= removed->second.startedAtMs) {
+        m_postponed[record.id] = { record, now + postponement };
+        return false;
+    }
+    return apply(record, now);
+}
+
 bool endpoint_directory::insertOrUpdate(const directory_record &record, monotonic_time now)
 {
     const endpoint_entry &entry = *record.entry;
@@ -86,10 +126,19 @@
         known->second.missingUntil = m_sourceUnavailable ? monotonic_time::max() : *m_gracePeriodEnd;
         return true;
     }
-    m_endpoints.erase(known);
+    erase(id, now);
     return true;
 }
 
+void endpoint_directory::erase(const endpoint_id &id, monotonic_time now)
+{
+    std::erase_if(m_removed, [&](const auto &item) {
+        return now - item.second.at >= removalMemory;
+    });
+    m_removed[id] = { m_endpoints.at(id).entry.incarnation.startedAtMs, now };
+    m_endpoints.erase(id);
+}
+
 void endpoint_directory::sourceLost()
 {
     m_sourceUnavailable = true;
@@ -111,11 +160,25 @@
 
 bool endpoint_directory::expire(monotonic_time now)
 {
-    return std::erase_if(m_endpoints,
-                         [&](const auto &item) {
-                             return item.second.missingUntil && now >= *item.second.missingUntil;
-                         })
-        > 0;
+    std::vector<endpoint_id> missing;
+    for (const auto &[id, known] : m_endpoints) {
+        if (known.missingUntil && now >= *known.missingUntil) {
+            missing.push_back(id);
+        }
+    }
+    for (const endpoint_id &id : missing) {
+        erase(id, now);
+    }
+    std::vector<directory_record> due;
+    for (const auto &[id, postponed] : m_postponed) {
+        if (now >= postponed.until) {
+            due.push_back(postponed.record);
+        }
+    }
+    for (const directory_record &record : due) {
+        apply(record, now);
+    }
+    return !missing.empty() || !due.empty();
 }
 
 const std::map<endpoint_id, listed_endpoint> &endpoint_directory::endpoints() const noexcept
--- a/libs/directory/endpoint_directory.h
+++ b/libs/directory/endpoint_directory.h
@@ -53,8 +53,13 @@
     /** Applies a record. Records with an offset below that of the known entry are ignored. Returns whether anything but the offset changed. */
     bool apply(const directory_record &record, monotonic_time now);
 
-    /** Applies a complete listing: entries below the offset @p end that it does not contain are removed. Returns whether anything changed. */
-    bool applyListing(const std::vector<directory_record> &listing, log_offset end, monotonic_time now);
+    /**
+     * Applies a complete listing: entries below the offset @p end that it does not contain are removed. Returns whether anything changed.
+     *
+     * A listing of a later era comes from an older copy of the source, whose endpoints write again what they wrote since. Until then an
+     * endpoint that drains continues to, one that was removed shortly before stays removed, and one that is not listed has the grace period.
+     */
+    bool applyListing(const std::vector<directory_record> &listing, store_era era, log_offset end, monotonic_time now);
 
     /** Records that the source cannot be read. Repeated calls have no effect. */
     void sourceLost();
@@ -62,7 +67,7 @@
     /** Records that the source can be read again, and starts the grace period. */
     void sourceReturned(monotonic_time now);
 
-    /** Removes entries whose grace period is over. Returns whether there were any. */
+    /** Removes entries whose grace period is over, and adds those that a restored source still lists. Returns whether there were any. */
     bool expire(monotonic_time now);
 
     const std::map<endpoint_id, listed_endpoint> &endpoints() const noexcept;
@@ -70,11 +75,30 @@
 private:
     bool insertOrUpdate(const directory_record &record, monotonic_time now);
     bool remove(const endpoint_id &id, monotonic_time now);
+    void erase(const endpoint_id &id, monotonic_time now);
+    /** Prepares for records whose offsets are not comparable with those of before. */
+    void forgetOffsets(monotonic_time now);
+    /** Applies an entry of a listing that may be older than what is known. */
+    bool applyOlder(const directory_record &record, monotonic_time now);
+
+    struct removed_endpoint {
+        std::uint64_t startedAtMs = 0;
+        monotonic_time at{};
+    };
+    struct postponed_record {
+        directory_record record;
+        monotonic_time until{};
+    };
 
     time_span m_gracePeriod;
     bool m_sourceUnavailable = false;
     std::optional<monotonic_time> m_gracePeriodEnd;
     std::map<endpoint_id, listed_endpoint> m_endpoints;
+    std::optional<store_era> m_era;
+    /** Endpoints that were removed shortly before. */
+    std::map<endpoint_id, removed_endpoint> m_removed;
+    /** Entries that a restored source lists although they had been removed. */
+    std::map<endpoint_id, postponed_record> m_postponed;
 };
 
 } // namespace sycamoretray
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -1,5 +1,6 @@
 #include "key_ownership/key_assigner.h"
 
+#include "key_ownership/assigner_epoch.h"
 #include "key_ownership/detail/key_assigner_impl.h"
 
 #include <algorithm>
@@ -169,6 +170,7 @@
         wholeKeySpace.settled = true;
         d->assignments.push_back(wholeKeySpace);
     }
+    d->nextToken = std::max(d->nextToken, firstTokenOf(epoch));
     ++d->revision;
 }
 
--- a/libs/metadata_store/counting_store.cpp
+++ b/libs/metadata_store/counting_store.cpp
@@ -16,7 +16,7 @@
     return m_store.readSpacing();
 }
 
-std::uint64_t counting_store::read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
+std::uint64_t counting_store::read(const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done)
 {
     m_observer("read", topic);
     return m_store.read(topic, from, wait, std::move(done));
--- a/libs/metadata_store/counting_store.h
+++ b/libs/metadata_store/counting_store.h
@@ -24,7 +24,7 @@
     counting_store(metadata_store &store, store_call_observer observer);
 
     time_span readSpacing() const override;
-    std::uint64_t read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done) override;
+    std::uint64_t read(const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done) override;
     void abort(std::uint64_t read) override;
     void list(const std::string &topic, const std::string &after, std::function<void(keyed_listing)> done) override;
     void append(const std::string &topic,
--- a/libs/metadata_store/keyed_topic_follower.cpp
+++ b/libs/metadata_store/keyed_topic_follower.cpp
@@ -32,8 +32,7 @@
     topic_observer observer;
     boost::asio::steady_timer timer;
     time_span retryDelay;
-    log_offset position;
-    store_era era;
+    topic_position position;
     /** The next read returns at once, to show whether the store answers again after a failure or a restart. */
     bool nextReadProbes = false;
     bool failing = false;
@@ -43,7 +42,7 @@
     /** Replies to calls made before the last restart are ignored. */
     std::uint64_t restartCount = 0;
     std::vector<keyed_record> listing;
-    log_offset listingEnd;
+    topic_position listingEnd;
 
     void scheduleAfter(time_span delay, void (impl::*next)())
     {
@@ -78,12 +77,18 @@
             handleFailure(&impl::list);
             return;
         }
+        if (page.era < position.era) {
+            // The relay has not noticed yet that the store was restored.
+            handleFailure(&impl::list);
+            return;
+        }
         handleSuccess();
-        recordEra(page.era);
-        const bool first = listing.empty();
-        if (first) {
+        if (listing.empty()) {
             // Records appended while later pages are listed may be missing, so reading continues from the end of the first page.
-            listingEnd = page.end;
+            listingEnd = { page.era, page.end };
+        } else if (page.era != listingEnd.era) {
+            list();
+            return;
         }
         std::move(page.records.begin(), page.records.end(), std::back_inserter(listing));
         if (page.more && !listing.empty()) {
@@ -95,8 +100,8 @@
         logEvent("topic_listed",
                  { { "topic", topic },
                    { "records", std::to_string(listing.size()) },
-                   { "end", std::to_string(position.value()) },
-                   { "era", std::to_string(era.value()) } });
+                   { "end", std::to_string(position.offset.value()) },
+                   { "era", std::to_string(position.era.value()) } });
         observer.onListed(std::exchange(listing, {}), listingEnd);
         scheduleAfter(store->readSpacing(), &impl::read);
     }
@@ -116,8 +121,7 @@
     {
         activeRead.reset();
         if (reply.result == store_result::expired) {
-            recordEra(reply.era);
-            logEvent(event_severity::warning, "topic_history_lost", { { "topic", topic }, { "position", std::to_string(position.value()) } });
+            logEvent(event_severity::warning, "topic_history_lost", { { "topic", topic }, { "position", std::to_string(position.offset.value()) } });
             list();
             return;
         }
@@ -127,8 +131,11 @@
             return;
         }
         handleSuccess();
-        recordEra(reply.era);
-        position = std::max(position, reply.next);
+        if (eraChanged(reply.era)) {
+            list();
+            return;
+        }
+        position.offset = std::max(position.offset, reply.next);
         const time_span spacing = reply.records.empty() ? settings.spacingAfterEmptyRead : store->readSpacing();
         if (!reply.records.empty()) {
             observer.onAppended(reply.records);
@@ -148,18 +155,19 @@
         retryDelay = std::min(retryDelay * 2, settings.maxRetryDelay);
     }
 
-    void recordEra(store_era answered)
+    /** Returns whether an answer shows that the store has returned from an older copy, so that the position has no meaning any more. */
+    bool eraChanged(store_era answered)
     {
-        if (answered == era) {
-            return;
+        if (answered == position.era) {
+            return false;
         }
         logEvent(event_severity::warning,
                  "store_era_changed",
                  { { "topic", topic },
-                   { "before", std::to_string(era.value()) },
+                   { "before", std::to_string(position.era.value()) },
                    { "after", std::to_string(answered.value()) },
-                   { "position", std::to_string(position.value()) } });
-        era = answered;
+                   { "position", std::to_string(position.offset.value()) } });
+        return true;
     }
 
     void handleSuccess()
@@ -213,12 +221,7 @@
     d->restart();
 }
 
-store_era keyed_topic_follower::era() const noexcept
-{
-    return d->era;
-}
-
-log_offset keyed_topic_follower::position() const noexcept
+const topic_position &keyed_topic_follower::position() const noexcept
 {
     return d->position;
 }
--- a/libs/metadata_store/keyed_topic_follower.h
+++ b/libs/metadata_store/keyed_topic_follower.h
@@ -26,8 +26,11 @@
 
 /** Callbacks of a follower, called on the strand of its executor. */
 struct topic_observer {
-    /** The topic was listed: @p records has the newest record of each key, complete up to the offset @p end. */
-    std::function<void(const std::vector<keyed_record> &records, log_offset end)> onListed;
+    /**
+     * The topic was listed: @p records has the newest record of each key, complete up to @p end. If the era differs from that of the last
+     * listing, the store has returned from an older copy: records may be older than those delivered before, and offsets start anew.
+     */
+    std::function<void(const std::vector<keyed_record> &records, const topic_position &end)> onListed;
     /** Records were appended since the last callback, in order. */
     std::function<void(const std::vector<keyed_record> &records)> onAppended;
     /** Calls to the store have started to fail. */
@@ -38,7 +41,7 @@
 
 /**
  * Follows a keyed topic: lists the newest record of each key, then reads appended records. Lists the topic again if the store has
- * deleted records that were not read yet.
+ * deleted records that were not read yet, or has returned from an older copy of its contents.
  *
  * Thread safety: none; used on the strand of its executor.
  */
@@ -57,11 +60,8 @@
     /** Cancels the read in flight and reads again at once, for use when its connection may be dead. */
     void restart();
 
-    /** Offset up to which all records have been delivered; 0 before the first listing. */
-    log_offset position() const noexcept;
-
-    /** Era of the store in its last answer. */
-    store_era era() const noexcept;
+    /** Position up to which all records have been delivered; 0 before the first listing. */
+    const topic_position &position() const noexcept;
 
 private:
     struct impl;
--- a/libs/metadata_store/metadata_store.h
+++ b/libs/metadata_store/metadata_store.h
@@ -38,6 +38,14 @@
     log_offset offset;
 };
 
+/** Position in a topic. Offsets of different eras are not comparable. */
+struct topic_position {
+    store_era era;
+    log_offset offset;
+
+    friend auto operator<=>(const topic_position &, const topic_position &) = default;
+};
+
 struct keyed_read {
     store_result result = store_result::unknown;
     std::vector<keyed_record> records;
@@ -66,7 +74,8 @@
 
 struct append_reply {
     store_result result = store_result::unknown;
-    log_offset end;
+    /** Position after the last appended record. */
+    topic_position end;
     /** Set if the result is out_of_sequence. */
     std::uint64_t expectedSequence = 0;
 };
@@ -89,11 +98,12 @@
     virtual ~metadata_store() = default;
 
     /**
-     * Reads records from offset @p from on. If there are none yet, the store holds the call for up to @p wait until one is appended.
+     * Reads records from @p from on. If there are none yet, the store holds the call for up to @p wait until one is appended. A reply of another
+     * era than that of @p from says nothing about the records from there on; the topic has to be listed again.
      *
      * @return an id for abort()
      */
-    virtual std::uint64_t read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done) = 0;
+    virtual std::uint64_t read(const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done) = 0;
 
     /** Time between the end of a read and the next read of the same topic, so that records that are appended together cost one call. */
     virtual time_span readSpacing() const
--- a/libs/metadata_store/relay_codec.cpp
+++ b/libs/metadata_store/relay_codec.cpp
@@ -41,12 +41,13 @@
 
 std::string encodeListing(const keyed_listing &listing)
 {
-    return encodeCbor(json::array({ listing.end.value(), encodeRecords(listing.records) }));
+    return encodeCbor(json::array({ listing.end.value(), encodeRecords(listing.records), listing.era.value() }));
 }
 
 std::string encodeRead(const keyed_read &read)
 {
-    return encodeCbor(json::array({ read.result == store_result::expired, read.end.value(), read.next.value(), encodeRecords(read.records) }));
+    return encodeCbor(
+        json::array({ read.result == store_result::expired, read.end.value(), read.next.value(), encodeRecords(read.records), read.era.value() }));
 }
 
 std::optional<keyed_listing> decodeRelayedListing(std::string_view data)
@@ -57,6 +58,7 @@
         listing.result = store_result::ok;
         listing.end = log_offset(document.at(0).get<std::uint64_t>());
         listing.records = decodeRecords(document.at(1));
+        listing.era = store_era(document.at(2).get<std::uint64_t>());
         return listing;
     } catch (const json::exception &) {
         return std::nullopt;
@@ -72,6 +74,7 @@
         read.end = log_offset(document.at(1).get<std::uint64_t>());
         read.next = log_offset(document.at(2).get<std::uint64_t>());
         read.records = decodeRecords(document.at(3));
+        read.era = store_era(document.at(4).get<std::uint64_t>());
         return read;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/libs/metadata_store/topic_copy.cpp
+++ b/libs/metadata_store/topic_copy.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-void topic_copy::setListing(const std::vector<keyed_record> &records, log_offset end)
+void topic_copy::setListing(const std::vector<keyed_record> &records, const topic_position &end)
 {
     m_newestByKey.clear();
     m_appended.clear();
@@ -28,7 +28,7 @@
         m_newestByKey[record.key] = record;
     }
     m_position = end;
-    m_firstOffset = end;
+    m_firstOffset = end.offset;
     m_complete = true;
 }
 
@@ -40,7 +40,7 @@
         } else {
             m_newestByKey.erase(record.key);
         }
-        m_position = std::max(m_position, log_offset(record.offset.value() + 1));
+        m_position.offset = std::max(m_position.offset, log_offset(record.offset.value() + 1));
         m_bytes += sizeOf(record);
         m_appended.push_back(record);
     }
@@ -65,32 +65,38 @@
 {
     keyed_listing listing;
     listing.result = store_result::ok;
-    listing.end = m_position;
+    listing.end = m_position.offset;
+    listing.era = m_position.era;
     for (const auto &[key, record] : m_newestByKey) {
         listing.records.push_back(record);
     }
     return listing;
 }
 
-keyed_read topic_copy::read(log_offset from) const
+keyed_read topic_copy::read(const topic_position &from) const
 {
     keyed_read read;
-    read.end = m_position;
-    read.next = std::max(from, m_position);
-    if (from < m_firstOffset) {
+    read.era = m_position.era;
+    read.end = m_position.offset;
+    read.next = std::max(from.offset, m_position.offset);
+    if (from.era > m_position.era) {
+        read.result = store_result::unavailable;
+        return read;
+    }
+    if (from.era < m_position.era || from.offset < m_firstOffset) {
         read.result = store_result::expired;
         return read;
     }
     read.result = store_result::ok;
     for (const keyed_record &record : m_appended) {
-        if (record.offset >= from) {
+        if (record.offset >= from.offset) {
             read.records.push_back(record);
         }
     }
     return read;
 }
 
-log_offset topic_copy::position() const noexcept
+const topic_position &topic_copy::position() const noexcept
 {
     return m_position;
 }
--- a/libs/metadata_store/topic_copy.h
+++ b/libs/metadata_store/topic_copy.h
@@ -17,8 +17,8 @@
 class topic_copy
 {
 public:
-    /** Replaces the copy with the newest record of each key, complete up to the offset @p end. */
-    void setListing(const std::vector<keyed_record> &records, log_offset end);
+    /** Replaces the copy with the newest record of each key, complete up to @p end. */
+    void setListing(const std::vector<keyed_record> &records, const topic_position &end);
 
     /** Adds records that were appended to the topic, in order. */
     void appendRecords(const std::vector<keyed_record> &records);
@@ -29,17 +29,20 @@
     /** Returns the newest record of each key. Precondition: isComplete(). */
     keyed_listing list() const;
 
-    /** Returns the records from offset @p from on; expired if some of them are no longer kept. Precondition: isComplete(). */
-    keyed_read read(log_offset from) const;
+    /**
+     * Returns the records from @p from on: expired if some of them are no longer kept, or if the copy is of a later era; unavailable if it is of
+     * an earlier era. Precondition: isComplete().
+     */
+    keyed_read read(const topic_position &from) const;
 
-    /** Offset after the last known record. */
-    log_offset position() const noexcept;
+    /** Position after the last known record. A reader at a lower position can be answered at once. */
+    const topic_position &position() const noexcept;
 
 private:
     void dropOldest();
 
     bool m_complete = false;
-    log_offset m_position;
+    topic_position m_position;
     std::map<std::string, keyed_record> m_newestByKey;
     /** Records from m_firstOffset on. */
     std::deque<keyed_record> m_appended;
--- a/tests/unit/directory/endpoint_directory_test.cpp
+++ b/tests/unit/directory/endpoint_directory_test.cpp
@@ -71,7 +71,7 @@
     for (std::uint64_t i = 1; i <= 4; ++i) {
         listing.push_back(record(("e" + std::to_string(i)).c_str(), i));
     }
-    cr_expect(directory.applyListing(listing, log_offset(9), start + std::chrono::seconds(12)));
+    cr_expect(directory.applyListing(listing, store_era(1), log_offset(9), start + std::chrono::seconds(12)));
     std::vector<listed_endpoint> known;
     for (const auto &[id, endpoint] : directory.endpoints()) {
         known.push_back(endpoint);
@@ -83,7 +83,7 @@
         return each.entry.incarnation.endpoint == endpoint_id("e5");
     }));
     // Most entries expire during an outage. All endpoints are then used until the grace period is over.
-    directory.applyListing({ record("e1", 1) }, log_offset(9), start + std::chrono::seconds(12));
+    directory.applyListing({ record("e1", 1) }, store_era(1), log_offset(9), start + std::chrono::seconds(12));
     known.clear();
     for (const auto &[id, endpoint] : directory.endpoints()) {
         known.push_back(endpoint);
@@ -106,8 +106,52 @@
     endpoint_directory directory(gracePeriod);
     directory.apply(record("old", 1), start);
     directory.apply(record("newer", 9), start);
-    cr_expect(directory.applyListing({ record("listed", 3) }, log_offset(5), start));
+    cr_expect(directory.applyListing({ record("listed", 3) }, store_era(1), log_offset(5), start));
     cr_expect_not(directory.endpoints().contains(endpoint_id("old")));
     cr_expect(directory.endpoints().contains(endpoint_id("newer")), "it registered after the listing");
     cr_expect(directory.endpoints().contains(endpoint_id("listed")));
 }
+
+// Guards against a restored source whose entries are ignored, because the offsets of before were higher.
+Test(endpoint_directory, records_of_a_later_era_count_whatever_their_offset)
+{
+    endpoint_directory directory(gracePeriod);
+    directory.applyListing({ record("a", 8), record("b", 9) }, store_era(1), log_offset(10), start);
+    directory.applyListing({ record("a", 1), record("b", 2) }, store_era(2), log_offset(3), start + std::chrono::seconds(1));
+    cr_expect(directory.apply(record("a", 3, 1, true), start + std::chrono::seconds(2)));
+    cr_expect(directory.endpoints().at(endpoint_id("a")).entry.draining);
+    cr_expect(directory.apply(removal("b", 4), start + std::chrono::seconds(5)));
+    cr_expect_not(directory.endpoints().contains(endpoint_id("b")));
+}
+
+// Guards against requests to an endpoint that drains or has left, because a restored source does not know that yet.
+Test(endpoint_directory, older_copy_does_not_bring_back_endpoints_that_left)
+{
+    endpoint_directory directory(gracePeriod);
+    directory.applyListing({ record("drains", 8), record("left", 9), record("back", 10), record("new", 11) }, store_era(1), log_offset(12), start);
+    directory.apply(record("drains", 12, 1, true), start);
+    directory.apply(removal("left", 13), start);
+    directory.apply(removal("back", 14), start);
+    const monotonic_time restored = start + std::chrono::seconds(1);
+    directory.applyListing({ record("drains", 1), record("left", 2), record("back", 3) }, store_era(2), log_offset(4), restored);
+    cr_expect(directory.endpoints().at(endpoint_id("drains")).entry.draining);
+    cr_expect_not(directory.endpoints().contains(endpoint_id("left")));
+    cr_expect(directory.endpoints().at(endpoint_id("new")).missingUntil.has_value(), "it registered after the copy was made");
+    directory.apply(record("back", 4), restored + std::chrono::milliseconds(500));
+    cr_expect(directory.endpoints().contains(endpoint_id("back")), "it wrote its entry again");
+    directory.apply(removal("left", 5), restored + std::chrono::seconds(3));
+    directory.expire(restored + std::chrono::seconds(10));
+    cr_expect_not(directory.endpoints().contains(endpoint_id("left")));
+}
+
+// Guards against an endpoint that is never used again, because it wrote its entry again before the restored source was listed.
+Test(endpoint_directory, entry_that_a_restored_source_keeps_is_used_in_the_end)
+{
+    endpoint_directory directory(gracePeriod);
+    directory.applyListing({ record("a", 8) }, store_era(1), log_offset(9), start);
+    directory.apply(removal("a", 9), start);
+    directory.applyListing({ record("a", 1) }, store_era(2), log_offset(2), start + std::chrono::seconds(1));
+    cr_expect_not(directory.endpoints().contains(endpoint_id("a")));
+    cr_expect(directory.expire(start + std::chrono::seconds(6)));
+    cr_expect(directory.endpoints().contains(endpoint_id("a")));
+}
--- a/tests/unit/metadata_store/read_spacing_test.cpp
+++ b/tests/unit/metadata_store/read_spacing_test.cpp
@@ -31,15 +31,15 @@
     /** Number of the next reads that get no answer, as on dead connections. */
     int unansweredReads = 0;
 
-    std::uint64_t read(const std::string & /*topic*/, log_offset from, time_span /*wait*/, std::function<void(keyed_read)> done) override
+    std::uint64_t read(const std::string & /*topic*/, const topic_position &from, time_span /*wait*/, std::function<void(keyed_read)> done) override
     {
         ++reads;
         keyed_read reply;
         reply.result = unansweredReads-- > 0 ? store_result::unknown : store_result::ok;
         reply.end = log_offset(static_cast<std::uint64_t>((steadyNow() - m_started) / 10ms));
-        reply.next = std::max(from, reply.end);
+        reply.next = std::max(from.offset, reply.end);
         if (!returnsNoRecords) {
-            reply.records.push_back({ "k", "v", from });
+            reply.records.push_back({ "k", "v", from.offset });
         }
         m_executor.post([reply, done = std::move(done)] {
             done(reply);
@@ -92,7 +92,7 @@
     });
     relayed.setReadsForOthers(readsForOthers);
     topic_observer observer;
-    observer.onListed = [](const std::vector<keyed_record> &, log_offset) {};
+    observer.onListed = [](const std::vector<keyed_record> &, const topic_position &) {};
     observer.onAppended = [](const std::vector<keyed_record> &) {};
     keyed_topic_follower follower(relayed, "keyed.t", executor, {}, observer);
     follower.start();
@@ -140,7 +140,7 @@
     relayed.setRelay(network_address("127.0.0.1:9"));
     int appended = 0;
     topic_observer observer;
-    observer.onListed = [](const std::vector<keyed_record> &, log_offset) {};
+    observer.onListed = [](const std::vector<keyed_record> &, const topic_position &) {};
     observer.onAppended = [&](const std::vector<keyed_record> &) {
         ++appended;
     };
@@ -179,7 +179,7 @@
     int taken = -1;
     const auto observer = [&](bool measured) {
         topic_observer result;
-        result.onListed = [](const std::vector<keyed_record> &, log_offset) {};
+        result.onListed = [](const std::vector<keyed_record> &, const topic_position &) {};
         result.onAppended = [&taken, started, measured](const std::vector<keyed_record> &) {
             if (measured && taken < 0) {
                 taken = static_cast<int>((steadyNow() - started) / 1ms);
--- a/tests/unit/metadata_store/restorable_store.cpp
+++ b/tests/unit/metadata_store/restorable_store.cpp
@@ -61,11 +61,11 @@
     return reply;
 }
 
-std::uint64_t restorable_store::read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done)
+std::uint64_t restorable_store::read(const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done)
 {
     const std::uint64_t id = ++m_lastRead;
-    m_waiting.push_back({ id, topic, from, std::move(done) });
-    const keyed_read reply = readNow(topic, from);
+    m_waiting.push_back({ id, topic, from.offset, std::move(done) });
+    const keyed_read reply = readNow(topic, from.offset);
     const bool waits = reply.result == store_result::ok && reply.records.empty();
     m_executor.repeat(waits ? static_cast<std::uint32_t>(std::max<std::int64_t>(1, wait / std::chrono::milliseconds(1))) : 1, [this, id] {
         const auto found = std::find_if(m_waiting.begin(), m_waiting.end(), [id](const waiting_read &each) {
@@ -134,7 +134,7 @@
         }
         m_appendedBySystem[topic] += records.size();
     }
-    reply.end = log_offset(m_topics[topic].size());
+    reply.end = { m_era, log_offset(m_topics[topic].size()) };
     m_executor.post([reply, done = std::move(done)] {
         done(reply);
     });
--- a/tests/unit/metadata_store/restorable_store.h
+++ b/tests/unit/metadata_store/restorable_store.h
@@ -28,7 +28,7 @@
     /** Records that the system itself has appended to @p topic since the last restore. */
     std::size_t appendedBySystem(const std::string &topic) const;
 
-    std::uint64_t read(const std::string &topic, log_offset from, time_span wait, std::function<void(keyed_read)> done) override;
+    std::uint64_t read(const std::string &topic, const topic_position &from, time_span wait, std::function<void(keyed_read)> done) override;
     void abort(std::uint64_t read) override;
     void list(const std::string &topic, const std::string &after, std::function<void(keyed_listing)> done) override;
     void append(const std::string &topic,
--- a/tests/unit/metadata_store/restored_store_test.cpp
+++ b/tests/unit/metadata_store/restored_store_test.cpp
@@ -48,7 +48,7 @@
                   [] {
                       return true;
                   })
-        , feeds(relayed, relay, executor, { [] {}, [] {}, [] {}, [] {}, [] {} })
+        , feeds(relayed, relay, executor, { [] {}, [] {}, [] {}, [] {}, [] {}, [] {} })
     {
         relayed.setRelayTopic(platform::ownershipTopic);
         relayed.setReadsForOthers(!relayAddress);
