Write no records again after a planned stop began

Change and result: storeRestored() does nothing after leave(). sycamoretrayd builds; covered by no test.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -192,6 +192,9 @@
 
     void storeRestored()
     {
+        if (stopped) {
+            return;
+        }
         logEvent("records_written_again", { { "era", std::to_string(environment.feeds.era().value()) }, { "leads", isLeader() ? "true" : "false" } });
         // The next confirmed join starts a claim with an epoch that is above the lost ones, after which all ownership records are written.
         process(leadership_event::fenced);
