Test request limits with processes and the platform's protocol

Change: the stand-in of an endpoint can name a limit; test_request_limit lets 24 callers of three instances press three endpoints that take two requests a second each, and counts what arrives in any 4 s, as the rule does.

--- a/tests/integration/gateway_test.py
+++ b/tests/integration/gateway_test.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import tempfile
+import threading
 import time
 import unittest
 import uuid
@@ -161,6 +162,33 @@
         for gateway in self.gateways:
             wait_until("the new route", lambda gateway=gateway: gateway.call("/new/")[0] == 200, 5)
 
+    def test_request_limit(self):
+        """Guards against instances that together send more to an endpoint than the limit that it names, and against limits that stop all requests."""
+        limit = 2
+        for endpoint in self.endpoints:
+            endpoint.request_limit = limit
+            endpoint.arrivals.clear()
+        started = time.monotonic()
+        statuses = []
+
+        def call_repeatedly(gateway, key):
+            while time.monotonic() - started < 9:
+                statuses.append(gateway.call("/look/", key=key)[0])
+                time.sleep(0.1)
+
+        callers = [threading.Thread(target=call_repeatedly, args=(gateway, key)) for gateway in self.gateways for key in range(0, 65536, 9000)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(set(statuses), {200, 503})
+        for endpoint in self.endpoints:
+            # The limit has to hold from three seconds after it was named; the margin is half of the limit and five requests.
+            times = [each for each in endpoint.arrivals if each >= started + 3]
+            most = max((sum(1 for other in times if each <= other < each + 4) for each in times), default=0)
+            self.assertLessEqual(most, 4 * 1.5 * limit + 5, endpoint.name)
+        self.assertGreater(sum(1 for status in statuses if status == 200), 9 * limit)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/integration/platform_standin.py
+++ b/tests/integration/platform_standin.py
@@ -210,6 +210,9 @@
         self.highest_fencing_tokens = [0] * 65536
         self.handovers = []
         self.runs = []
+        self.arrivals = []
+        # Requests a second that the endpoint names as its limit in all responses.
+        self.request_limit = None
         self.started_ms = int(time.time() * 1000)
         super().__init__(address)
         self.register("ready")
@@ -250,6 +253,9 @@
 
     def run(self, request, body):
         identity = {"Attempt-Id": request.headers["Attempt-Id"], "Instance-Id": self.name}
+        if self.request_limit is not None:
+            identity["Server-Limit"] = str(self.request_limit)
+        self.arrivals.append(time.monotonic())
         if request.headers.get("Expected-Instance", self.name) != self.name or (self.divided and not self.holds(int(request.headers["Shard-Key"]))):
             request.reply(421, b"", {**identity, "Not-Executed": "1"})
             return
