Test a restored store with processes and the platform's protocol

Change: the stand-in of the store can return from an older copy, with its era in all replies, and refuses offsets beyond the end. test_restored_store returns it from a copy that has none of the system's own records, and expects a new route at three instances, all records written again, and all keys served.

--- a/tests/integration/gateway_test.py
+++ b/tests/integration/gateway_test.py
@@ -162,6 +162,26 @@
         for gateway in self.gateways:
             wait_until("the new route", lambda gateway=gateway: gateway.call("/new/")[0] == 200, 5)
 
+    def test_restored_store(self):
+        """Guards against instances that miss a configuration, and records that are not written again, after the store returned from a copy."""
+        contents = self.store.copy(without=["keyed.ownership"])
+        for version in range(4, 9):
+            self.store.put("keyed.op", "config", configuration(version, ROUTES, SERVICES))
+        self.assert_served_for(1)
+        self.store.down = True
+        with self.store.changed:
+            self.store.changed.notify_all()
+        time.sleep(1)
+        self.store.restore(contents)
+        self.store.down = False
+        self.store.put("keyed.op", "config", configuration(9, ROUTES + [("new", "/new/", "ledger", "safe")], SERVICES))
+        for gateway in self.gateways:
+            wait_until("the new route", lambda gateway=gateway: gateway.call("/new/")[0] == 200, 3)
+        own = {"relay/z1", "relay/z2", "instances/z1", "instances/z2", "desk"}
+        wait_until("records of the system", lambda: own <= self.store.topic("keyed.ownership").latest.keys(), 5)
+        wait_until("owners of all keys", self.all_served, 5)
+        self.assert_served_for(1)
+
     def test_request_limit(self):
         """Guards against instances that together send more to an endpoint than the limit that it names, and against limits that stop all requests."""
         limit = 2
--- a/tests/integration/platform_standin.py
+++ b/tests/integration/platform_standin.py
@@ -1,5 +1,6 @@
 """Stand-ins for the platform: its store, and endpoints that register there and are granted keys. They implement the platform's published protocol."""
 import base64
+import copy
 import http.server
 import json
 import struct
@@ -46,6 +47,7 @@
         self.down = False
         self.lose_append_replies = 0
         self.calls = 0
+        self.era = 1
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
@@ -56,6 +58,17 @@
             self.topic(topic).append(key, b"" if value is None else json.dumps(value).encode())
             self.changed.notify_all()
 
+    def copy(self, without=()):
+        """Returns a copy of the contents for restore(), without the given topics."""
+        with self.changed:
+            return {name: copy.deepcopy(topic) for name, topic in self.topics.items() if name not in without}, copy.deepcopy(self.groups)
+
+    def restore(self, contents):
+        """Replaces the contents by an older copy, after which offsets are given out again."""
+        with self.changed:
+            self.topics, self.groups = contents
+            self.era += 1
+
     def append(self, query, body):
         topic = self.topic(query["Topic"])
         if "Producer" in query:
@@ -90,7 +103,8 @@
         deadline = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
         while topic.end_offset <= start and time.monotonic() < deadline and not self.down:
             self.changed.wait(max(0, deadline - time.monotonic()))
-        if start < topic.first_offset:
+        topic = self.topic(query["Topic"])
+        if start < topic.first_offset or start > topic.end_offset:
             return 410, {"First": topic.first_offset}
         content = struct.pack(">QQ", topic.end_offset, topic.first_offset)
         for key, value in topic.records[start - topic.first_offset:]:
@@ -197,7 +211,7 @@
                 status, reply = store.join(json.loads(body))
             else:
                 status, reply = store.leave(json.loads(body))
-        request.reply(status, reply)
+        request.reply(status, reply, {"Store-Era": str(store.era)})
 
 
 class Endpoint(Listener):
