Log on which connection an endpoint accepts the grants of a token

The logs could not tell whether a grant with a known token reached the process that had it before: orders are sent to an address, on whichever connection of the pool is free, and nothing said which connection that was. Connections are numbered now, the reply to an order names its connection, and the assigner logs grant_on_other_connection when a token is accepted on another one. No decision changes.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -78,7 +78,7 @@
     void sendOrder(order_id order, const endpoint_incarnation &endpoint, std::string wire, time_span timeout, order_callback done)
     {
         poolOf(endpoint.address).exchange(std::move(wire), false, timeout, [order, done = std::move(done)](const http_exchange_result &result) {
-            done(order, platform::decodeOrderOutcome(result), platform::decodeHandover(result));
+            done(order, platform::decodeOrderReply(result));
         });
     }
 };
@@ -139,7 +139,7 @@
         .exchange(std::move(wire), false, probeTimeout, [id = order.order, done = std::move(done)](const http_exchange_result &result) {
             // Any answer shows that the endpoint is reachable.
             const order_outcome failed = result.sent ? order_outcome::unanswered : order_outcome::unsent;
-            done(id, result.code == result_code::ok ? order_outcome::accepted : failed, {});
+            done(id, { result.code == result_code::ok ? order_outcome::accepted : failed, {}, result.connection });
         });
 }
 
--- a/apps/sycamoretrayd/gateway/endpoint_connections.h
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.h
@@ -11,8 +11,8 @@
 namespace sycamoretray
 {
 
-/** Called with the outcome of an order; @p handover is what the endpoint returned for a release. */
-using order_callback = std::function<void(order_id order, order_outcome outcome, std::string handover)>;
+/** Called with the outcome of an order. */
+using order_callback = std::function<void(order_id order, order_reply reply)>;
 
 /**
  * Connections to endpoints, for callers' requests and for orders: grants and releases of keys, and probes.
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -371,14 +371,14 @@
 
     order_callback orderCallback(const service_id &service)
     {
-        return [weak = weak_from_this(), service, sentIn = epoch](order_id order, order_outcome outcome, std::string handover) {
+        return [weak = weak_from_this(), service, sentIn = epoch](order_id order, order_reply reply) {
             const auto self = weak.lock();
             if (!self || self->stopped || self->epoch != sentIn || !self->isLeader()) {
                 return;
             }
             const auto found = self->assigners.find(service);
             if (found != self->assigners.end()) {
-                found->second->orderDone(order, outcome, std::move(handover), steadyNow());
+                found->second->orderDone(order, std::move(reply), steadyNow());
                 self->performActions();
             }
         };
--- a/libs/base/ids.h
+++ b/libs/base/ids.h
@@ -31,6 +31,12 @@
 /** IPv4 or IPv6 address and port, such as "127.0.0.1:8080" or "[::1]:8080". */
 using network_address = strong_value<struct network_address_tag, std::string>;
 
+/**
+ * Number of a connection to an endpoint, unique in this process; 0 for none. A connection reaches one process only: the incarnation of the
+ * endpoint that accepted it.
+ */
+using connection_number = strong_value<struct connection_number_tag, std::uint64_t>;
+
 using request_id = strong_value<struct request_id_tag, std::string>;
 
 /** Position of a record in a stream of the log service. */
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 #include <netinet/in.h>
@@ -11,8 +12,20 @@
 namespace sycamoretray::detail
 {
 
+namespace
+{
+
+connection_number nextNumber()
+{
+    static std::atomic<std::uint64_t> last = 0;
+    return connection_number(++last);
+}
+
+} // namespace
+
 client_connection::client_connection(const strand_type &strand, observer &pool, const connection_pool_settings &settings)
-    : m_socket(strand)
+    : m_number(nextNumber())
+    , m_socket(strand)
     , m_pool(&pool)
     , m_parser(settings.limits)
     , m_received(settings.budget)
@@ -195,6 +208,7 @@
 void client_connection::finish(http_exchange_result result, bool reusable)
 {
     const auto self = shared_from_this();
+    result.connection = m_number;
     m_busy = false;
     m_received.release();
     if (!reusable) {
--- a/libs/http_client/detail/client_connection.h
+++ b/libs/http_client/detail/client_connection.h
@@ -77,6 +77,11 @@
         return m_exchange;
     }
 
+    connection_number number() const noexcept
+    {
+        return m_number;
+    }
+
     /** End of the connect timeout while connecting, of the idle timeout while idle. Maintained by the pool. */
     monotonic_time deadline;
 
@@ -89,6 +94,7 @@
     void setOptions();
     void finish(http_exchange_result result, bool reusable);
 
+    connection_number m_number;
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand_type> m_socket;
     observer *m_pool;
     http_response_parser m_parser;
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -40,6 +40,8 @@
     result_code code = result_code::ok;
     /** False only if no byte of the request was sent. */
     bool sent = true;
+    /** Connection on which the request was sent. */
+    connection_number connection;
     http_response response;
 };
 
--- a/libs/key_ownership/assigner_actions.h
+++ b/libs/key_ownership/assigner_actions.h
@@ -65,4 +65,13 @@
     unsent,
 };
 
+/** What became of an order. */
+struct order_reply {
+    order_outcome outcome = order_outcome::unsent;
+    /** Handover data that the endpoint returned with a release. */
+    std::string handover;
+    /** Connection on which the order was sent. */
+    connection_number connection;
+};
+
 } // namespace sycamoretray
--- a/libs/key_ownership/detail/assignment.h
+++ b/libs/key_ownership/detail/assignment.h
@@ -47,6 +47,9 @@
     monotonic_time nextGrant{};
     /** A grant may have been sent to the owner, which may therefore hold the keys. */
     bool grantSent = false;
+    /** Token and connection of the grant that was accepted last. */
+    fencing_token grantedToken;
+    connection_number grantedOn;
     /** A grant was accepted, and no later one failed. */
     bool renewedWithoutGap = false;
     /** The owner rejected a grant because it has seen a higher token. */
--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -143,8 +143,10 @@
     void sendDueOrders(assignment &subject, bool mayDecide, monotonic_time now);
     void renewReplacedGrants(assignment &subject, monotonic_time now);
     void releaseOtherHolders(assignment &subject, monotonic_time now);
-    void grantDone(const pending_order &order, order_id id, order_outcome outcome, monotonic_time now);
-    void releaseDone(const pending_order &order, order_id id, order_outcome outcome, std::string handover, monotonic_time now);
+    void grantDone(const pending_order &order, order_id id, const order_reply &reply, monotonic_time now);
+    /** Logs a grant that was accepted on another connection than the one before, where another process may have accepted it. */
+    void noteConnection(assignment &subject, const pending_order &order, connection_number connection);
+    void releaseDone(const pending_order &order, order_id id, order_reply reply, monotonic_time now);
 };
 
 } // namespace sycamoretray
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -212,7 +212,7 @@
     d->writtenRevision = revision;
 }
 
-void key_assigner::orderDone(order_id order, order_outcome outcome, std::string handover, monotonic_time now)
+void key_assigner::orderDone(order_id order, order_reply reply, monotonic_time now)
 {
     const auto found = d->orders.find(order);
     if (found == d->orders.end()) {
@@ -220,7 +220,7 @@
     }
     const pending_order done = found->second;
     d->orders.erase(found);
-    if (outcome == order_outcome::unanswered || outcome == order_outcome::unsent) {
+    if (reply.outcome == order_outcome::unanswered || reply.outcome == order_outcome::unsent) {
         d->responsiveness.failed(done.incarnation, now);
         if (d->responsiveness.isUnresponsive(done.incarnation)) {
             d->nextPlan = std::min(d->nextPlan, now);
@@ -230,10 +230,10 @@
     }
     switch (done.kind) {
     case order_kind::grant:
-        d->grantDone(done, order, outcome, now);
+        d->grantDone(done, order, reply, now);
         break;
     case order_kind::release:
-        d->releaseDone(done, order, outcome, std::move(handover), now);
+        d->releaseDone(done, order, std::move(reply), now);
         break;
     case order_kind::probe:
         break;
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -94,12 +94,8 @@
      */
     void recordWritten(std::uint64_t revision, bool success, monotonic_time now);
 
-    /**
-     * Reports the outcome of an order.
-     *
-     * @param handover  handover data that the endpoint returned with a release
-     */
-    void orderDone(order_id order, order_outcome outcome, std::string handover, monotonic_time now);
+    /** Reports the outcome of an order. */
+    void orderDone(order_id order, order_reply reply, monotonic_time now);
 
     /**
      * Returns the actions to carry out now. Call it after each event and at least every 50 ms.
--- a/libs/key_ownership/key_assigner_orders.cpp
+++ b/libs/key_ownership/key_assigner_orders.cpp
@@ -122,8 +122,9 @@
     }
 }
 
-void key_assigner::impl::grantDone(const pending_order &order, order_id id, order_outcome outcome, monotonic_time now)
+void key_assigner::impl::grantDone(const pending_order &order, order_id id, const order_reply &reply, monotonic_time now)
 {
+    const order_outcome outcome = reply.outcome;
     const endpoint_incarnation receiver = currentIncarnation(order.incarnation);
     --grantsInFlight[receiver];
     if (outcome == order_outcome::accepted || outcome == order_outcome::unanswered) {
@@ -138,6 +139,7 @@
     }
     subject->grantOrder.reset();
     if (outcome == order_outcome::accepted) {
+        noteConnection(*subject, order, reply.connection);
         subject->renewedWithoutGap = true;
         subject->nextGrant = order.sent + renewInterval() - renewalSpreadStep * static_cast<std::int64_t>(subject->serial % renewalSpreadSteps);
         if (!subject->settled) {
@@ -153,7 +155,21 @@
     }
 }
 
-void key_assigner::impl::releaseDone(const pending_order &order, order_id id, order_outcome outcome, std::string handover, monotonic_time now)
+void key_assigner::impl::noteConnection(assignment &subject, const pending_order &order, connection_number connection)
+{
+    if (subject.grantedToken == subject.token && !(subject.grantedOn == connection)) {
+        note("grant_on_other_connection",
+             { { "keys", rangeText(subject.keys) },
+               { "endpoint", order.incarnation.endpoint.value() },
+               { "token", std::to_string(subject.token.value()) },
+               { "connection", std::to_string(connection.value()) },
+               { "before", std::to_string(subject.grantedOn.value()) } });
+    }
+    subject.grantedToken = subject.token;
+    subject.grantedOn = connection;
+}
+
+void key_assigner::impl::releaseDone(const pending_order &order, order_id id, order_reply reply, monotonic_time now)
 {
     assignment *subject = findBySerial(order.serial);
     if (subject == nullptr) {
@@ -167,9 +183,9 @@
     }
     holder->order.reset();
     // Endpoints never refuse to release keys of their service. An endpoint that refuses belongs to another service and holds none.
-    if (outcome == order_outcome::accepted || outcome == order_outcome::refused) {
+    if (reply.outcome == order_outcome::accepted || reply.outcome == order_outcome::refused) {
         note("keys_released", { { "keys", rangeText(subject->keys) }, { "endpoint", order.incarnation.endpoint.value() } });
-        subject->handover = std::move(handover);
+        subject->handover = std::move(reply.handover);
         subject->otherHolders.erase(holder);
         return;
     }
--- a/tests/unit/key_ownership/limited_endpoint_test.cpp
+++ b/tests/unit/key_ownership/limited_endpoint_test.cpp
@@ -88,9 +88,9 @@
             if (const auto *write = std::get_if<write_record>(&actions.front())) {
                 m_assigner.recordWritten(write->revision, true, m_now);
             } else if (const auto *grant = std::get_if<send_grant>(&actions.front())) {
-                m_assigner.orderDone(grant->order, order_outcome::accepted, {}, m_now);
+                m_assigner.orderDone(grant->order, { order_outcome::accepted, {}, {} }, m_now);
             } else if (const auto *release = std::get_if<send_release>(&actions.front())) {
-                m_assigner.orderDone(release->order, order_outcome::accepted, {}, m_now);
+                m_assigner.orderDone(release->order, { order_outcome::accepted, {}, {} }, m_now);
             }
             act();
         }
--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -123,7 +123,7 @@
     } else if (const auto *probe = std::get_if<probe_endpoint>(&action)) {
         const process *target = processAt(probe->endpoint.address);
         const bool answers = target != nullptr && target->up && !target->unreachable;
-        subject.assigner->orderDone(probe->order, answers ? order_outcome::accepted : order_outcome::unsent, {}, m_now);
+        subject.assigner->orderDone(probe->order, { answers ? order_outcome::accepted : order_outcome::unsent, {}, {} }, m_now);
     } else if (const auto *record = std::get_if<write_record>(&action)) {
         write(subject, *record);
     } else if (const auto *note = std::get_if<log_decision>(&action)) {
@@ -180,11 +180,11 @@
     const auto done = [this, &subject, id](order_outcome outcome, time_span after) {
         schedule(m_now + after, [this, &subject, id, outcome] {
             if (subject.assigner && m_now >= subject.suspendedUntil) {
-                subject.assigner->orderDone(id, outcome, "handover", m_now);
+                subject.assigner->orderDone(id, { outcome, "handover", {} }, m_now);
             } else if (subject.assigner) {
                 schedule(subject.suspendedUntil, [this, &subject, id, outcome] {
                     if (subject.assigner) {
-                        subject.assigner->orderDone(id, outcome, "handover", m_now);
+                        subject.assigner->orderDone(id, { outcome, "handover", {} }, m_now);
                     }
                 });
             }
--- a/tests/unit/platform/order_codec_test.cpp
+++ b/tests/unit/platform/order_codec_test.cpp
@@ -23,15 +23,15 @@
 {
     http_exchange_result result;
     result.response.status = 200;
-    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::accepted);
+    cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::accepted);
     result.response.status = 409;
-    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::superseded);
+    cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::superseded);
     result.response.status = 400;
-    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::refused);
+    cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::refused);
     result.response.status = 503;
-    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::unanswered);
+    cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::unanswered);
     result.code = result_code::deadline_while_running;
-    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::unanswered);
+    cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::unanswered);
     result.sent = false;
-    cr_expect(platform::decodeOrderOutcome(result) == order_outcome::unsent);
+    cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::unsent);
 }
