Test that no two incarnations of an endpoint accept a key with one token

The simulation compared only processes at different addresses, so that a token accepted by two processes that follow each other at one address was no violation. With checkTokens it also reports a key that an incarnation accepts with a token that is not above those with which others had it.

--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -26,6 +26,7 @@
 ownership_simulation::ownership_simulation(simulation_options options)
     : m_options(options)
     , m_random(options.seed)
+    , m_acceptedTokens(watchedKeyCount)
     , m_lastServed(watchedKeyCount)
 {
     for (std::size_t i = 0; i < m_options.endpoints; ++i) {
@@ -234,10 +235,27 @@
         held.seenToken = std::max(held.seenToken, token);
         held.token = length ? token : 0;
         held.until = length ? arrival + std::chrono::duration_cast<time_span>(*length / target.clockRate) : monotonic_time{};
+        if (held.until > m_now) {
+            checkToken(target, i, token);
+        }
     }
     return order_outcome::accepted;
 }
 
+void ownership_simulation::checkToken(const process &target, std::size_t key, std::uint64_t token)
+{
+    accepted_token &highest = m_acceptedTokens[key];
+    if (m_options.checkTokens && token <= highest.token && !(target.incarnation == highest.incarnation)) {
+        m_violations.push_back("key " + std::to_string(watchedKey(key)) + " at " + std::to_string(m_now.time_since_epoch().count() / 1000)
+                               + " ms: " + target.incarnation.endpoint.value() + "/" + std::to_string(target.incarnation.startedAtMs) + " accepted token "
+                               + std::to_string(token) + ", " + highest.incarnation.endpoint.value() + "/" + std::to_string(highest.incarnation.startedAtMs)
+                               + " had it with token " + std::to_string(highest.token));
+    }
+    if (token >= highest.token) {
+        highest = { token, target.incarnation };
+    }
+}
+
 void ownership_simulation::publishDirectory()
 {
     std::vector<listed_endpoint> listed;
@@ -309,6 +327,11 @@
     });
 }
 
+void ownership_simulation::crashUnnoticed(std::size_t endpoint)
+{
+    m_processes[endpoint].up = false;
+}
+
 void ownership_simulation::restart(std::size_t endpoint, time_span registerAfter)
 {
     process &subject = m_processes[endpoint];
--- a/tests/unit/key_ownership/ownership_simulation.h
+++ b/tests/unit/key_ownership/ownership_simulation.h
@@ -22,6 +22,8 @@
     /** Interval between injected faults; drawn between a quarter and twice this value. */
     time_span faultInterval = std::chrono::milliseconds(700);
     bool faults = true;
+    /** Also reports keys that an incarnation accepts with a token that is not above those with which other incarnations had them. */
+    bool checkTokens = false;
     /** Prints decisions to standard error, to debug a seed. */
     bool trace = false;
 };
@@ -43,7 +45,7 @@
     /** Stops fault injection, restores connections and the store, and restarts crashed endpoints. */
     void endFaults();
 
-    /** Descriptions of the moments at which two endpoints held the same watched key. */
+    /** Descriptions of the moments at which two endpoints held the same watched key, or accepted it with tokens in the wrong order. */
     const std::vector<std::string> &violations() const noexcept
     {
         return m_violations;
@@ -61,6 +63,8 @@
 
     // Faults that tests inject themselves.
     void crash(std::size_t endpoint);
+    /** Like crash(), but the endpoint's entry stays in the directory until its successor registers. */
+    void crashUnnoticed(std::size_t endpoint);
     /** Starts a new process at the address of a crashed endpoint. It registers after @p registerAfter. */
     void restart(std::size_t endpoint, time_span registerAfter);
     void setUnreachable(std::size_t endpoint, bool unreachable);
@@ -86,6 +90,11 @@
         monotonic_time stateSince{};
         std::optional<endpoint_incarnation> listedIncarnation;
     };
+    /** Highest token with which an incarnation accepted a key. */
+    struct accepted_token {
+        std::uint64_t token = 0;
+        endpoint_incarnation incarnation;
+    };
     struct assigner_process {
         std::unique_ptr<key_assigner> assigner;
         std::uint64_t epoch = 0;
@@ -111,6 +120,7 @@
     order_outcome apply(process &target, key_range keys, std::uint64_t token, std::optional<time_span> length, monotonic_time arrival);
     void publishDirectory();
     void checkInvariants();
+    void checkToken(const process &target, std::size_t key, std::uint64_t token);
     void injectFault();
     void loseLeadership(assigner_process &subject);
     process *processAt(const network_address &address);
@@ -131,6 +141,7 @@
     std::uint64_t m_lastStartedAtMs = 0;
     monotonic_time m_nextFault{};
     std::vector<std::string> m_violations;
+    std::vector<accepted_token> m_acceptedTokens;
     std::vector<monotonic_time> m_lastServed;
     time_span m_longestUnserved{};
 };
