Send each fencing token on one connection only

Two incarnations of an endpoint held the same keys with the same token: the later one started at the address of the former, and 20 ms after its start accepted a renewal that was meant for its predecessor.

Cause: grants were sent to an address, on any connection of the pool, and a failed renewal was retried on a new one with its old token. An address says nothing about the process that has it, and a process that has just started has seen no token, so it accepts any.

Grants now have a connection of their own for each incarnation, which is not opened again when it is lost. A renewal with a known token is sent on the connection on which it was accepted, or not at all; any other grant takes the next of the tokens that the record reserves for the range, so that no write is needed. A new assigner reserves new tokens for all ranges, since the connections of its predecessor are not its own. An assigner without confirmed leadership opens no connections.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -45,6 +45,14 @@
     monotonic_time used;
 };
 
+/** The connection on which grants are sent to an incarnation of an endpoint. */
+struct grant_connection {
+    std::shared_ptr<http_connection_pool> pool;
+    /** Known after the first answer. */
+    connection_number number;
+    monotonic_time used;
+};
+
 struct running_attempt {
     network_address address;
     std::uint64_t exchange = 0;
@@ -63,6 +71,7 @@
     std::shared_ptr<buffer_budget> budget;
     std::function<void(endpoint_attempt_id, endpoint_reply)> replied;
     std::map<network_address, endpoint_pool> pools;
+    std::map<endpoint_incarnation, grant_connection> grantConnections;
     std::map<endpoint_attempt_id, running_attempt> attempts;
 
     http_connection_pool &poolOf(const network_address &address)
@@ -75,6 +84,48 @@
         return *entry.pool;
     }
 
+    grant_connection &openGrantConnection(const endpoint_incarnation &endpoint)
+    {
+        grant_connection &connection = grantConnections[endpoint];
+        if (!connection.pool || !connection.pool->isUsable()) {
+            // The former pool is kept until the callbacks that it has posted have run.
+            executor.post([former = std::move(connection.pool)] {});
+            connection_pool_settings settings = poolSettings(budget);
+            settings.singleConnection = true;
+            connection = { std::make_shared<http_connection_pool>(executor, endpoint.address, settings), {}, {} };
+        }
+        return connection;
+    }
+
+    /** Returns whether a connection that was used before can still be used. */
+    bool isOpen(const endpoint_incarnation &endpoint, connection_number number) const
+    {
+        const auto found = grantConnections.find(endpoint);
+        return found != grantConnections.end() && found->second.number == number && found->second.pool->isUsable();
+    }
+
+    void sendGrant(const send_grant &order, order_callback done)
+    {
+        if (order.connection && !isOpen(order.endpoint, *order.connection)) {
+            executor.post([id = order.order, done = std::move(done)] {
+                done(id, { order_outcome::connection_lost, {}, {} });
+            });
+            return;
+        }
+        grant_connection &connection = openGrantConnection(order.endpoint);
+        connection.used = steadyNow();
+        connection.pool->exchange(platform::encodeGrant(order), false, grantTimeout, [this, order, done = std::move(done)](const http_exchange_result &result) {
+            order_reply reply = platform::decodeOrderReply(result);
+            const auto found = grantConnections.find(order.endpoint);
+            if (reply.outcome == order_outcome::accepted && found != grantConnections.end()) {
+                found->second.number = reply.connection;
+            } else if (order.connection && reply.outcome == order_outcome::unsent) {
+                reply.outcome = order_outcome::connection_lost;
+            }
+            done(order.order, std::move(reply));
+        });
+    }
+
     void sendOrder(order_id order, const endpoint_incarnation &endpoint, std::string wire, time_span timeout, order_callback done)
     {
         poolOf(endpoint.address).exchange(std::move(wire), false, timeout, [order, done = std::move(done)](const http_exchange_result &result) {
@@ -124,7 +175,7 @@
 
 void endpoint_connections::send(const send_grant &order, order_callback done)
 {
-    d->sendOrder(order.order, order.endpoint, platform::encodeGrant(order), grantTimeout, std::move(done));
+    d->sendGrant(order, std::move(done));
 }
 
 void endpoint_connections::send(const send_release &order, order_callback done)
@@ -143,11 +194,18 @@
         });
 }
 
+void endpoint_connections::closeGrantConnections()
+{
+    d->grantConnections.clear();
+}
+
 void endpoint_connections::closeUnused(monotonic_time now)
 {
-    std::erase_if(d->pools, [&](const auto &item) {
+    const auto isUnused = [&](const auto &item) {
         return now - item.second.used > unusedPoolTimeout;
-    });
+    };
+    std::erase_if(d->pools, isUnused);
+    std::erase_if(d->grantConnections, isUnused);
 }
 
 } // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/endpoint_connections.h
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.h
@@ -38,6 +38,9 @@
     void send(const send_release &order, order_callback done);
     void send(const probe_endpoint &order, const std::string &healthPath, order_callback done);
 
+    /** Closes the connections on which grants are sent. What has not been sent yet is discarded, and no callback of a grant runs afterwards. */
+    void closeGrantConnections();
+
     /** Closes connections to endpoints that have not been used for a while. */
     void closeUnused(monotonic_time now);
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -214,6 +214,7 @@
         case leadership_phase::following:
             logEvent("assigner_stopped", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
             assigners.clear();
+            environment.endpoints.closeGrantConnections();
             writes.clear();
             writing = false;
             recordWriter.forgetAll();
--- a/libs/http_client/http_connection_pool.cpp
+++ b/libs/http_client/http_connection_pool.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <utility>
 #include <vector>
 
 namespace sycamoretray
@@ -42,6 +43,8 @@
     boost::asio::ip::tcp::endpoint endpoint;
     bool addressValid = false;
     bool closed = false;
+    /** The single connection was opened. */
+    bool opened = false;
     bool sweeping = false;
     /** Expiry time of the timer while sweeping is true. */
     monotonic_time sweepAt;
@@ -60,8 +63,14 @@
         }));
     }
 
+    bool isUsable() const
+    {
+        return addressValid && !(settings.singleConnection && opened && connections.empty());
+    }
+
     void openOne()
     {
+        opened = true;
         auto connection = std::make_shared<client_connection>(executor.state().strand, *this, settings);
         connection->deadline = steadyNow() + settings.connectTimeout;
         connections.push_back(connection);
@@ -71,7 +80,7 @@
 
     void openNeeded()
     {
-        if (closed || !addressValid) {
+        if (closed || !addressValid || (settings.singleConnection && opened)) {
             return;
         }
         const std::size_t connecting = connectingCount();
@@ -105,6 +114,29 @@
         std::erase_if(connections, [&](const auto &candidate) {
             return candidate.get() == &connection;
         });
+        if (!isUsable()) {
+            failWaiting();
+        }
+    }
+
+    void failWaiting()
+    {
+        for (const pending_exchange &exchange : std::exchange(waiting, {})) {
+            failLater(exchange.done);
+        }
+    }
+
+    /** Fails an exchange of which nothing was sent. */
+    void failLater(callback done)
+    {
+        boost::asio::post(executor.state().strand, [weak = weak_from_this(), done = std::move(done)] {
+            const auto self = weak.lock();
+            if (self && !self->closed) {
+                pending_exchange unsent;
+                unsent.done = done;
+                failUnsent(unsent, result_code::peer_unreachable);
+            }
+        });
     }
 
     void closeIdle()
@@ -265,7 +297,8 @@
         closed = true;
         sweepTimer.cancel();
         for (const auto &connection : connections) {
-            connection->close();
+            // Discards what has not been sent yet: the callers no longer learn whether it arrives.
+            connection->isBusy() ? connection->reset() : connection->close();
         }
         connections.clear();
         idle.clear();
@@ -292,15 +325,8 @@
 std::uint64_t http_connection_pool::exchange(std::string wire, bool headRequest, time_span timeout, callback done, filter matchesRequest)
 {
     const std::uint64_t id = ++d->lastId;
-    if (!d->addressValid) {
-        boost::asio::post(d->executor.state().strand, [weak = d->weak_from_this(), done = std::move(done)] {
-            const auto self = weak.lock();
-            if (self && !self->closed) {
-                pending_exchange unsent;
-                unsent.done = done;
-                impl::failUnsent(unsent, result_code::peer_unreachable);
-            }
-        });
+    if (!d->isUsable()) {
+        d->failLater(std::move(done));
         return id;
     }
     pending_exchange exchange{ id, std::move(wire), headRequest, steadyNow() + timeout, std::move(done), std::move(matchesRequest) };
@@ -332,6 +358,11 @@
     }
 }
 
+bool http_connection_pool::isUsable() const noexcept
+{
+    return d->isUsable();
+}
+
 std::uint32_t http_connection_pool::openConnections() const noexcept
 {
     return static_cast<std::uint32_t>(d->connections.size());
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -22,6 +22,11 @@
     /** Idle connections in excess of spareConnections are closed after this time. */
     time_span idleTimeout = std::chrono::seconds(10);
     time_span connectTimeout = std::chrono::seconds(1);
+    /**
+     * Open one connection only, and none after it is lost, so that every request reaches the same process. Requests that find it lost
+     * fail unsent.
+     */
+    bool singleConnection = false;
     /** Approximate time after which a connection is closed if its peer acknowledges neither data nor keep-alive probes; 0: system default. */
     time_span unresponsivePeerTimeout{};
     /** Close the idle connections too if a request times out. They may have become unresponsive together, and each would cost another timeout. */
@@ -83,6 +88,9 @@
 
     std::uint32_t openConnections() const noexcept;
 
+    /** False if every further request fails unsent, as the address is invalid or the single connection was lost. */
+    bool isUsable() const noexcept;
+
 private:
     struct impl;
     std::shared_ptr<impl> d;
--- a/libs/key_ownership/assigner_actions.h
+++ b/libs/key_ownership/assigner_actions.h
@@ -2,6 +2,7 @@
 
 #include "key_ownership/ownership_record.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -19,7 +20,12 @@
     std::uint64_t revision = 0;
 };
 
-/** Grants keys to an endpoint, or renews an existing grant. */
+/**
+ * Grants keys to an endpoint, or renews an existing grant.
+ *
+ * A grant names no incarnation, so any process that has the endpoint's address when the grant arrives accepts it. A token is therefore sent on
+ * one connection only, which reaches one process only.
+ */
 struct send_grant {
     order_id order;
     endpoint_incarnation endpoint;
@@ -27,6 +33,8 @@
     fencing_token token;
     /** Validity of the grant. */
     time_span length{};
+    /** Connection on which the token was sent before; if nullopt, the token is new and may be sent on any connection. */
+    std::optional<connection_number> connection;
     /** Handover data that the previous holder returned with its release; empty if there is none. */
     std::string handover;
 };
@@ -59,10 +67,14 @@
     superseded,
     /** The endpoint rejected the order as invalid. */
     refused,
+    /** Another process has the endpoint's address, and rejected the order. */
+    misdirected,
     /** The order was sent, and its connection was reset before an answer arrived. The endpoint may have received it at any time until now. */
     unanswered,
-    /** The order is known not to have been sent. */
+    /** The order is known not to have been sent, because the endpoint cannot be reached. */
     unsent,
+    /** The order was not sent, because the connection that it requires was lost. */
+    connection_lost,
 };
 
 /** What became of an order. */
--- a/libs/key_ownership/detail/assignment.h
+++ b/libs/key_ownership/detail/assignment.h
@@ -16,6 +16,7 @@
     endpoint_incarnation incarnation;
     key_range keys;
     fencing_token token;
+    connection_number connection;
 };
 
 /** An incarnation other than the owner that may hold the keys of an assignment. */
@@ -32,7 +33,10 @@
     std::uint64_t serial = 0;
     key_range keys;
     endpoint_incarnation owner;
+    /** First of the tokens that are reserved for grants to the owner. */
     fencing_token token;
+    /** Number of these tokens that may have been sent. */
+    std::uint32_t tokensSent = 0;
     fencing_token releaseToken;
     bool settled = false;
     time_span unservedFor{};
@@ -47,9 +51,8 @@
     monotonic_time nextGrant{};
     /** A grant may have been sent to the owner, which may therefore hold the keys. */
     bool grantSent = false;
-    /** Token and connection of the grant that was accepted last. */
-    fencing_token grantedToken;
-    connection_number grantedOn;
+    /** Connection on which the newest token was accepted; nullopt if the next grant needs a new token. */
+    std::optional<connection_number> grantedOn;
     /** A grant was accepted, and no later one failed. */
     bool renewedWithoutGap = false;
     /** The owner rejected a grant because it has seen a higher token. */
@@ -63,6 +66,12 @@
         return !owner.endpoint.value().empty();
     }
 
+    /** Returns the newest token that may have been sent. Precondition: tokensSent is not 0. */
+    fencing_token newestToken() const noexcept
+    {
+        return fencing_token(token.value() + tokensSent - 1);
+    }
+
     void addOtherHolder(const endpoint_incarnation &incarnation);
 };
 
--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -104,6 +104,7 @@
     void replaceIncarnation(const endpoint_incarnation &incarnation, const endpoint_incarnation &successor);
     /** Returns @p incarnation, or its latest successor if it has terminated. */
     endpoint_incarnation currentIncarnation(endpoint_incarnation incarnation) const;
+    void recordResponsiveness(const endpoint_incarnation &incarnation, order_outcome outcome, monotonic_time now);
     ownership_record toOwnershipRecord() const;
 
     // Assignments and the planning of moves. Defined in key_assigner_planning.cpp.
@@ -118,7 +119,9 @@
     double plannedSlowness(const endpoint_id &endpoint, double slots) const;
     plan_input planInput(monotonic_time now) const;
     void plan(monotonic_time now);
-    /** Assigns new tokens where the owner has seen a higher token than that of its grant. */
+    /** Reserves tokens for grants to the owner of an assignment. */
+    fencing_token reserveTokens();
+    /** Assigns new tokens where the owner has seen a higher token than that of its grant, and where all tokens were used. */
     void renewTokens(monotonic_time now);
     void apply(const std::vector<planned_move> &moves, const plan_input &input, std::string_view reason, monotonic_time now);
     bool mayJoin(const assignment &left, const assignment &right) const;
@@ -127,7 +130,8 @@
     // Orders to endpoints and their outcomes. Defined in key_assigner_orders.cpp.
     void note(std::string event, std::vector<std::pair<std::string, std::string>> fields);
     order_id openOrder(order_kind kind, std::uint64_t serial, const endpoint_incarnation &incarnation, monotonic_time now);
-    order_id grant(std::uint64_t serial, const held_grant &held, const std::string &handover, monotonic_time now);
+    /** @param connection  connection on which the token was sent before; nullopt for a new token */
+    order_id grant(std::uint64_t serial, const held_grant &held, std::optional<connection_number> connection, const std::string &handover, monotonic_time now);
     /** Returns the latest time at which a grant that arrived by @p now expires on the endpoint's clock. */
     monotonic_time grantExpiry(monotonic_time now, time_span length) const;
     bool holdsNothing(const endpoint_incarnation &incarnation, monotonic_time now) const;
@@ -138,14 +142,17 @@
      * Sends the renewals, releases and grants of an assignment that are due.
      *
      * Without confirmed leadership (@p mayDecide is false), another assigner may have taken over. Only grants that were renewed
-     * without a gap are renewed then: after a gap the endpoint may have restarted, and would accept a superseded token.
+     * without a gap are renewed then, on the connection on which they were accepted: another process at the endpoint's address has seen
+     * no token of the other assigner and would accept a superseded one.
      */
     void sendDueOrders(assignment &subject, bool mayDecide, monotonic_time now);
     void renewReplacedGrants(assignment &subject, monotonic_time now);
     void releaseOtherHolders(assignment &subject, monotonic_time now);
     void grantDone(const pending_order &order, order_id id, const order_reply &reply, monotonic_time now);
-    /** Logs a grant that was accepted on another connection than the one before, where another process may have accepted it. */
-    void noteConnection(assignment &subject, const pending_order &order, connection_number connection);
+    /** Takes the next token for a grant that may reach another process than the grants before. Returns false if none is left. */
+    bool takeToken(assignment &subject);
+    void grantOwner(assignment &subject, monotonic_time now);
+    void grantFailed(assignment &subject, const pending_order &order, order_outcome outcome, monotonic_time now);
     void releaseDone(const pending_order &order, order_id id, order_reply reply, monotonic_time now);
 };
 
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -119,6 +119,28 @@
     return incarnation;
 }
 
+void key_assigner::impl::recordResponsiveness(const endpoint_incarnation &incarnation, order_outcome outcome, monotonic_time now)
+{
+    switch (outcome) {
+    case order_outcome::accepted:
+    case order_outcome::superseded:
+    case order_outcome::refused:
+        responsiveness.answered(incarnation);
+        break;
+    case order_outcome::misdirected:
+    case order_outcome::unanswered:
+    case order_outcome::unsent:
+        responsiveness.failed(incarnation, now);
+        if (responsiveness.isUnresponsive(incarnation)) {
+            nextPlan = std::min(nextPlan, now);
+        }
+        break;
+    case order_outcome::connection_lost:
+        // Says nothing about the endpoint, which closes idle connections.
+        break;
+    }
+}
+
 ownership_record key_assigner::impl::toOwnershipRecord() const
 {
     ownership_record record;
@@ -172,6 +194,13 @@
     }
     d->nextToken = std::max(d->nextToken, firstTokenOf(epoch));
     ++d->revision;
+    // The tokens of the previous assigner were sent on its connections, and it is not known how many of them.
+    for (assignment &each : d->assignments) {
+        if (each.hasOwner()) {
+            each.token = d->reserveTokens();
+            each.changedInRevision = d->revision;
+        }
+    }
 }
 
 void key_assigner::previousAssignerStopped(monotonic_time now)
@@ -220,14 +249,7 @@
     }
     const pending_order done = found->second;
     d->orders.erase(found);
-    if (reply.outcome == order_outcome::unanswered || reply.outcome == order_outcome::unsent) {
-        d->responsiveness.failed(done.incarnation, now);
-        if (d->responsiveness.isUnresponsive(done.incarnation)) {
-            d->nextPlan = std::min(d->nextPlan, now);
-        }
-    } else {
-        d->responsiveness.answered(done.incarnation);
-    }
+    d->recordResponsiveness(done.incarnation, reply.outcome, now);
     switch (done.kind) {
     case order_kind::grant:
         d->grantDone(done, order, reply, now);
--- a/libs/key_ownership/key_assigner_orders.cpp
+++ b/libs/key_ownership/key_assigner_orders.cpp
@@ -41,13 +41,38 @@
     return order;
 }
 
-order_id key_assigner::impl::grant(std::uint64_t serial, const held_grant &held, const std::string &handover, monotonic_time now)
+order_id key_assigner::impl::grant(std::uint64_t serial,
+                                   const held_grant &held,
+                                   std::optional<connection_number> connection,
+                                   const std::string &handover,
+                                   monotonic_time now)
 {
     const order_id order = openOrder(order_kind::grant, serial, held.incarnation, now);
-    actions.emplace_back(send_grant{ order, held.incarnation, held.keys, held.token, grantLength(), handover });
+    actions.emplace_back(send_grant{ order, held.incarnation, held.keys, held.token, grantLength(), connection, handover });
     return order;
 }
 
+bool key_assigner::impl::takeToken(assignment &subject)
+{
+    if (subject.tokensSent == tokensPerAssignment) {
+        subject.superseded = true;
+        subject.nextGrant = monotonic_time::max();
+        return false;
+    }
+    ++subject.tokensSent;
+    return true;
+}
+
+void key_assigner::impl::grantOwner(assignment &subject, monotonic_time now)
+{
+    if (!subject.grantedOn && !takeToken(subject)) {
+        return;
+    }
+    subject.grantSent = true;
+    const held_grant next{ subject.owner, subject.keys, subject.newestToken(), {} };
+    subject.grantOrder = grant(subject.serial, next, subject.grantedOn, subject.handover, now);
+}
+
 monotonic_time key_assigner::impl::grantExpiry(monotonic_time now, time_span length) const
 {
     const auto drift = std::chrono::duration_cast<time_span>(length * settings.clockDrift);
@@ -76,7 +101,7 @@
 
 void key_assigner::impl::sendDueOrders(assignment &subject, bool mayDecide, monotonic_time now)
 {
-    if (!mayDecide && !subject.renewedWithoutGap) {
+    if (!mayDecide && !(subject.renewedWithoutGap && subject.grantedOn)) {
         return;
     }
     if (subject.changedInRevision > writtenRevision) {
@@ -90,8 +115,7 @@
     if (!subject.otherHolders.empty() || !subject.hasOwner() || subject.grantOrder || now < subject.nextGrant || endedIncarnations.contains(subject.owner)) {
         return;
     }
-    subject.grantSent = true;
-    subject.grantOrder = grant(subject.serial, { subject.owner, subject.keys, subject.token }, subject.handover, now);
+    grantOwner(subject, now);
 }
 
 void key_assigner::impl::renewReplacedGrants(assignment &subject, monotonic_time now)
@@ -100,7 +124,7 @@
         return;
     }
     for (const held_grant &held : subject.renewUntilWritten) {
-        grant(subject.serial, held, {}, now);
+        grant(subject.serial, held, held.connection, {}, now);
     }
     subject.nextGrant = now + renewInterval();
 }
@@ -124,49 +148,51 @@
 
 void key_assigner::impl::grantDone(const pending_order &order, order_id id, const order_reply &reply, monotonic_time now)
 {
-    const order_outcome outcome = reply.outcome;
     const endpoint_incarnation receiver = currentIncarnation(order.incarnation);
     --grantsInFlight[receiver];
-    if (outcome == order_outcome::accepted || outcome == order_outcome::unanswered) {
+    if (reply.outcome == order_outcome::accepted || reply.outcome == order_outcome::unanswered) {
         expiries.extend(receiver, grantExpiry(now, order.length));
     }
     assignment *subject = findBySerial(order.serial);
     if (subject != nullptr) {
-        subject->renewedWithoutGap = subject->renewedWithoutGap && outcome == order_outcome::accepted;
+        subject->renewedWithoutGap = subject->renewedWithoutGap && reply.outcome == order_outcome::accepted;
     }
     if (subject == nullptr || subject->grantOrder != id) {
         return;
     }
     subject->grantOrder.reset();
-    if (outcome == order_outcome::accepted) {
-        noteConnection(*subject, order, reply.connection);
-        subject->renewedWithoutGap = true;
-        subject->nextGrant = order.sent + renewInterval() - renewalSpreadStep * static_cast<std::int64_t>(subject->serial % renewalSpreadSteps);
-        if (!subject->settled) {
-            settle(*subject, now);
-        }
+    if (reply.outcome != order_outcome::accepted) {
+        grantFailed(*subject, order, reply.outcome, now);
         return;
     }
-    subject->nextGrant = now + settings.retryInterval;
-    if (outcome == order_outcome::superseded) {
-        note("token_superseded", { { "keys", rangeText(subject->keys) }, { "endpoint", order.incarnation.endpoint.value() } });
-        subject->superseded = true;
-        subject->nextGrant = monotonic_time::max();
+    if (!subject->grantedOn && subject->tokensSent > 1) {
+        note("grant_on_other_connection",
+             { { "keys", rangeText(subject->keys) },
+               { "endpoint", order.incarnation.endpoint.value() },
+               { "token", std::to_string(subject->newestToken().value()) },
+               { "connection", std::to_string(reply.connection.value()) } });
+    }
+    subject->grantedOn = reply.connection;
+    subject->renewedWithoutGap = true;
+    subject->nextGrant = order.sent + renewInterval() - renewalSpreadStep * static_cast<std::int64_t>(subject->serial % renewalSpreadSteps);
+    if (!subject->settled) {
+        settle(*subject, now);
     }
 }
 
-void key_assigner::impl::noteConnection(assignment &subject, const pending_order &order, connection_number connection)
+void key_assigner::impl::grantFailed(assignment &subject, const pending_order &order, order_outcome outcome, monotonic_time now)
 {
-    if (subject.grantedToken == subject.token && !(subject.grantedOn == connection)) {
-        note("grant_on_other_connection",
-             { { "keys", rangeText(subject.keys) },
-               { "endpoint", order.incarnation.endpoint.value() },
-               { "token", std::to_string(subject.token.value()) },
-               { "connection", std::to_string(connection.value()) },
-               { "before", std::to_string(subject.grantedOn.value()) } });
+    if (outcome == order_outcome::unsent) {
+        // No process has seen the token.
+        --subject.tokensSent;
+    }
+    subject.grantedOn.reset();
+    subject.nextGrant = outcome == order_outcome::connection_lost ? now : now + settings.retryInterval;
+    if (outcome == order_outcome::superseded) {
+        note("token_superseded", { { "keys", rangeText(subject.keys) }, { "endpoint", order.incarnation.endpoint.value() } });
+        subject.superseded = true;
+        subject.nextGrant = monotonic_time::max();
     }
-    subject.grantedToken = subject.token;
-    subject.grantedOn = connection;
 }
 
 void key_assigner::impl::releaseDone(const pending_order &order, order_id id, order_reply reply, monotonic_time now)
@@ -182,8 +208,10 @@
         return;
     }
     holder->order.reset();
-    // Endpoints never refuse to release keys of their service. An endpoint that refuses belongs to another service and holds none.
-    if (reply.outcome == order_outcome::accepted || reply.outcome == order_outcome::refused) {
+    // Endpoints never refuse to release keys of their service. An endpoint that refuses belongs to another service and holds none, and if
+    // another process has the address, the holder has terminated.
+    const bool holdsNone = reply.outcome == order_outcome::refused || reply.outcome == order_outcome::misdirected;
+    if (reply.outcome == order_outcome::accepted || holdsNone) {
         note("keys_released", { { "keys", rangeText(subject->keys) }, { "endpoint", order.incarnation.endpoint.value() } });
         subject->handover = std::move(reply.handover);
         subject->otherHolders.erase(holder);
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -65,7 +65,9 @@
            { "reason", std::string(reason) },
            { "token", std::to_string(nextToken + 1) } });
     if (subject.hasOwner() && subject.settled && subject.changedInRevision <= writtenRevision && !endedIncarnations.contains(subject.owner)) {
-        subject.renewUntilWritten.push_back({ subject.owner, subject.keys, subject.token });
+        if (subject.grantedOn) {
+            subject.renewUntilWritten.push_back({ subject.owner, subject.keys, subject.newestToken(), *subject.grantedOn });
+        }
     }
     subject.unservedFor = time_span::zero();
     if (subject.hasOwner() && subject.grantSent && !(subject.owner == owner)) {
@@ -79,7 +81,9 @@
     });
     subject.owner = owner;
     subject.releaseToken = fencing_token(nextToken++);
-    subject.token = fencing_token(nextToken++);
+    subject.token = reserveTokens();
+    subject.tokensSent = 0;
+    subject.grantedOn.reset();
     subject.settled = false;
     subject.grantSent = false;
     subject.renewedWithoutGap = subject.renewedWithoutGap && !subject.renewUntilWritten.empty();
@@ -89,6 +93,13 @@
     subject.changedInRevision = ++revision;
 }
 
+fencing_token key_assigner::impl::reserveTokens()
+{
+    const fencing_token first(nextToken);
+    nextToken += tokensPerAssignment;
+    return first;
+}
+
 void key_assigner::impl::settle(assignment &subject, monotonic_time now)
 {
     subject.settled = true;
@@ -97,7 +108,7 @@
     subject.movableFrom = now + settings.rebalanceCooldown;
     ++revision;
     note("keys_settled",
-         { { "keys", rangeText(subject.keys) }, { "owner", subject.owner.endpoint.value() }, { "token", std::to_string(subject.token.value()) } });
+         { { "keys", rangeText(subject.keys) }, { "owner", subject.owner.endpoint.value() }, { "token", std::to_string(subject.newestToken().value()) } });
 }
 
 bool key_assigner::impl::mayAssign(monotonic_time now) const
@@ -200,12 +211,19 @@
             ++i;
             continue;
         }
-        left.renewUntilWritten = { { left.owner, left.keys, left.token }, { right.owner, right.keys, right.token } };
+        left.renewUntilWritten.clear();
+        for (const assignment *each : { &std::as_const(left), &right }) {
+            if (each->grantedOn) {
+                left.renewUntilWritten.push_back({ each->owner, each->keys, each->newestToken(), *each->grantedOn });
+            }
+        }
         left.keys.last = right.keys.last;
         left.serial = ++lastSerial;
         left.grantOrder.reset();
         left.nextGrant = std::min(left.nextGrant, right.nextGrant);
-        left.token = fencing_token(nextToken++);
+        left.token = reserveTokens();
+        left.tokensSent = 0;
+        left.grantedOn.reset();
         left.changedInRevision = ++revision;
         left.movableFrom = std::max(left.movableFrom, right.movableFrom);
         assignments.erase(assignments.begin() + static_cast<std::ptrdiff_t>(i) + 1);
--- a/libs/key_ownership/ownership_record.h
+++ b/libs/key_ownership/ownership_record.h
@@ -18,6 +18,12 @@
 /** Number of keys of a service whose requests are divided by key. */
 inline constexpr std::uint32_t keyCount = 65536;
 
+/**
+ * Number of fencing tokens that are reserved for the grants to the owner of a range. A grant that may reach another process than the one before
+ * takes the next of them, without a write to the store.
+ */
+inline constexpr std::uint32_t tokensPerAssignment = 256;
+
 /** Range of keys from first to last, inclusive. */
 struct key_range {
     std::uint32_t first = 0;
@@ -30,7 +36,7 @@
     key_range keys;
     /** The endpoint to which the keys are assigned; empty if there is none. */
     endpoint_incarnation owner;
-    /** Fencing token of the grant to the owner; higher than that of any earlier grant of these keys. */
+    /** First of the tokensPerAssignment fencing tokens reserved for grants to the owner; higher than that of any earlier grant of these keys. */
     fencing_token token;
     /** Incarnations that may hold the keys by an earlier grant. The owner is granted the keys only after all of them hold nothing. */
     std::vector<endpoint_incarnation> otherHolders;
--- a/tests/unit/key_ownership/key_assigner_test.cpp
+++ b/tests/unit/key_ownership/key_assigner_test.cpp
@@ -88,3 +88,20 @@
     cr_expect(simulation.violations().empty(), "%s", simulation.violations().empty() ? "" : simulation.violations().front().c_str());
     cr_expect_eq(simulation.servedKeys(), ownership_simulation::watchedKeys());
 }
+
+// Guards against keys that become unserved when an endpoint closes the connection after each grant, so that each renewal needs a new token and
+// the reserved tokens of a range are used up.
+Test(key_assigner, grants_outlast_connections_that_close_after_each_grant)
+{
+    simulation_options options;
+    options.seed = 7;
+    options.faults = false;
+    options.checkTokens = true;
+    options.connectionLoss = 1;
+    ownership_simulation simulation(options);
+    const auto renewals = static_cast<std::int64_t>(tokensPerAssignment) + 20;
+    simulation.run(assigner_settings().renewInterval * renewals);
+    cr_expect_eq(simulation.servedKeys(), ownership_simulation::watchedKeys());
+    cr_expect(simulation.longestUnserved() < std::chrono::milliseconds(50));
+    cr_expect(simulation.violations().empty(), "%s", simulation.violations().empty() ? "" : simulation.violations().front().c_str());
+}
--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -118,9 +118,9 @@
 void ownership_simulation::perform(assigner_process &subject, const assigner_action &action)
 {
     if (const auto *grant = std::get_if<send_grant>(&action)) {
-        order(subject, grant->order, grant->endpoint, grant->keys, grant->token.value(), grant->length);
+        sendGrant(subject, *grant);
     } else if (const auto *release = std::get_if<send_release>(&action)) {
-        order(subject, release->order, release->endpoint, release->keys, release->token.value(), std::nullopt);
+        sendRelease(subject, *release);
     } else if (const auto *probe = std::get_if<probe_endpoint>(&action)) {
         const process *target = processAt(probe->endpoint.address);
         const bool answers = target != nullptr && target->up && !target->unreachable;
@@ -171,54 +171,109 @@
     });
 }
 
-void ownership_simulation::order(assigner_process &subject,
-                                 order_id id,
-                                 const endpoint_incarnation &target,
-                                 key_range keys,
-                                 std::uint64_t token,
-                                 std::optional<time_span> length)
-{
-    const auto done = [this, &subject, id](order_outcome outcome, time_span after) {
-        schedule(m_now + after, [this, &subject, id, outcome] {
-            if (subject.assigner && m_now >= subject.suspendedUntil) {
-                subject.assigner->orderDone(id, { outcome, "handover", {} }, m_now);
-            } else if (subject.assigner) {
-                schedule(subject.suspendedUntil, [this, &subject, id, outcome] {
-                    if (subject.assigner) {
-                        subject.assigner->orderDone(id, { outcome, "handover", {} }, m_now);
-                    }
-                });
-            }
-        });
-    };
-    process *receiver = processAt(target.address);
+const ownership_simulation::connection *ownership_simulation::connectionFor(assigner_process &subject, const send_grant &grant)
+{
+    const process *receiver = processAt(grant.endpoint.address);
+    const bool reachable = receiver != nullptr && receiver->up && !receiver->unreachable;
+    const auto known = subject.connections.find(grant.endpoint);
+    const bool required = grant.connection.has_value();
+    if (required && (known == subject.connections.end() || !(known->second.number == *grant.connection))) {
+        report(subject, grant.order, { order_outcome::connection_lost, {}, {} }, time_span::zero());
+        return nullptr;
+    }
+    if (known != subject.connections.end() && (!reachable || known->second.startedAtMs != receiver->incarnation.startedAtMs)) {
+        const bool noticed = receiver != nullptr && !receiver->unreachable && chance(0.5);
+        const order_outcome noticedOutcome = required ? order_outcome::connection_lost : order_outcome::unsent;
+        subject.connections.erase(known);
+        report(subject, grant.order, { noticed ? noticedOutcome : order_outcome::unanswered, {}, {} }, noticed ? time_span::zero() : orderTimeout);
+        return nullptr;
+    }
+    if (known != subject.connections.end()) {
+        return &known->second;
+    }
+    if (!reachable) {
+        report(subject, grant.order, { order_outcome::unsent, {}, {} }, orderTimeout);
+        return nullptr;
+    }
+    return &(subject.connections[grant.endpoint] = { connection_number(++m_lastConnection), receiver->incarnation.startedAtMs });
+}
+
+void ownership_simulation::sendGrant(assigner_process &subject, const send_grant &grant)
+{
+    const connection *chosen = connectionFor(subject, grant);
+    if (chosen == nullptr) {
+        return;
+    }
+    deliver(subject, grant.order, grant.endpoint.address, chosen->startedAtMs, chosen->number, [this, grant](process &target, monotonic_time arrival) {
+        if (m_options.endpointsCheckId && !(target.incarnation.endpoint == grant.endpoint.endpoint)) {
+            return order_outcome::misdirected;
+        }
+        return apply(target, grant.keys, grant.token.value(), grant.length, arrival);
+    });
+    if (m_options.connectionLoss > 0 && chance(m_options.connectionLoss)) {
+        subject.connections.erase(grant.endpoint);
+    }
+}
+
+void ownership_simulation::sendRelease(assigner_process &subject, const send_release &release)
+{
+    const process *receiver = processAt(release.endpoint.address);
     if (receiver == nullptr || !receiver->up || receiver->unreachable) {
-        // An order on an existing connection is sent and the connection is reset; new connections fail.
-        const bool kept = receiver != nullptr && std::exchange(receiver->connected, false);
-        done(kept ? order_outcome::unanswered : order_outcome::unsent, orderTimeout);
+        report(subject, release.order, { chance(0.5) ? order_outcome::unanswered : order_outcome::unsent, {}, {} }, orderTimeout);
         return;
     }
-    receiver->connected = true;
-    const monotonic_time arrival = m_now + randomSpan(std::chrono::milliseconds(1), std::chrono::milliseconds(15));
     const std::uint64_t startedAtMs = receiver->incarnation.startedAtMs;
+    deliver(subject, release.order, release.endpoint.address, startedAtMs, {}, [this, release](process &target, monotonic_time arrival) {
+        if (m_options.endpointsCheckId && !(target.incarnation.endpoint == release.endpoint.endpoint)) {
+            return order_outcome::misdirected;
+        }
+        return apply(target, release.keys, release.token.value(), std::nullopt, arrival);
+    });
+}
+
+void ownership_simulation::deliver(assigner_process &subject,
+                                   order_id id,
+                                   const network_address &address,
+                                   std::uint64_t startedAtMs,
+                                   connection_number number,
+                                   std::function<order_outcome(process &target, monotonic_time arrival)> execute)
+{
+    const monotonic_time arrival = m_now + randomSpan(std::chrono::milliseconds(1), std::chrono::milliseconds(15));
     const bool late = m_options.faults && chance(0.1);
     const monotonic_time applied = late ? arrival + randomSpan(std::chrono::seconds(2), std::chrono::seconds(12)) : arrival;
-    const network_address address = target.address;
-    schedule(applied, [this, address, startedAtMs, keys, token, length, arrival, late, done] {
+    schedule(applied, [this, &subject, id, address, startedAtMs, number, arrival, late, execute = std::move(execute)] {
         process *present = processAt(address);
         if (!present->up || present->incarnation.startedAtMs != startedAtMs) {
+            if (!late) {
+                report(subject, id, { order_outcome::unanswered, {}, number }, std::chrono::milliseconds(2));
+            }
             return;
         }
-        const order_outcome outcome = apply(*present, keys, token, length, arrival);
+        const order_outcome outcome = execute(*present, arrival);
         if (!late) {
-            done(outcome, std::chrono::milliseconds(2));
+            report(subject, id, { outcome, "handover", number }, std::chrono::milliseconds(2));
         }
     });
     if (late) {
-        done(order_outcome::unanswered, orderTimeout);
+        report(subject, id, { order_outcome::unanswered, {}, number }, orderTimeout);
     }
 }
 
+void ownership_simulation::report(assigner_process &subject, order_id id, order_reply reply, time_span after)
+{
+    schedule(m_now + after, [this, &subject, id, reply = std::move(reply)] {
+        if (subject.assigner && m_now >= subject.suspendedUntil) {
+            subject.assigner->orderDone(id, reply, m_now);
+        } else if (subject.assigner) {
+            schedule(subject.suspendedUntil, [this, &subject, id, reply] {
+                if (subject.assigner) {
+                    subject.assigner->orderDone(id, reply, m_now);
+                }
+            });
+        }
+    });
+}
+
 order_outcome ownership_simulation::apply(process &target, key_range keys, std::uint64_t token, std::optional<time_span> length, monotonic_time arrival)
 {
     for (std::size_t i = 0; i < watchedKeyCount; ++i) {
--- a/tests/unit/key_ownership/ownership_simulation.h
+++ b/tests/unit/key_ownership/ownership_simulation.h
@@ -4,6 +4,7 @@
 #include "key_ownership/ownership_view.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +25,10 @@
     bool faults = true;
     /** Also reports keys that an incarnation accepts with a token that is not above those with which other incarnations had them. */
     bool checkTokens = false;
+    /** Endpoints reject orders that name another endpoint. */
+    bool endpointsCheckId = false;
+    /** Fraction of grants after which the endpoint closes the connection. */
+    double connectionLoss = 0;
     /** Prints decisions to standard error, to debug a seed. */
     bool trace = false;
 };
@@ -84,12 +89,16 @@
         bool up = true;
         bool unreachable = false;
         bool draining = false;
-        bool connected = false;
         double clockRate = 1;
         std::vector<held_key> keys;
         monotonic_time stateSince{};
         std::optional<endpoint_incarnation> listedIncarnation;
     };
+    /** A connection of an assigner to a process. */
+    struct connection {
+        connection_number number;
+        std::uint64_t startedAtMs = 0;
+    };
     /** Highest token with which an incarnation accepted a key. */
     struct accepted_token {
         std::uint64_t token = 0;
@@ -102,6 +111,7 @@
         monotonic_time suspendedUntil{};
         bool leads = true;
         ownership_record_writer writer;
+        std::map<endpoint_incarnation, connection> connections;
     };
     using task = std::function<void()>;
 
@@ -111,12 +121,18 @@
     void perform(assigner_process &subject, const assigner_action &action);
     void trace(const log_decision &note) const;
     void write(assigner_process &subject, const write_record &action);
-    void order(assigner_process &subject,
-               order_id id,
-               const endpoint_incarnation &target,
-               key_range keys,
-               std::uint64_t token,
-               std::optional<time_span> length);
+    /** Chooses the connection of a grant; if there is none, reports the outcome and returns nullptr. */
+    const connection *connectionFor(assigner_process &subject, const send_grant &grant);
+    void sendGrant(assigner_process &subject, const send_grant &grant);
+    void sendRelease(assigner_process &subject, const send_release &release);
+    /** Applies an order at the process that @p startedAtMs names, and reports the outcome, or applies it late and reports none. */
+    void deliver(assigner_process &subject,
+                 order_id id,
+                 const network_address &address,
+                 std::uint64_t startedAtMs,
+                 connection_number number,
+                 std::function<order_outcome(process &target, monotonic_time arrival)> execute);
+    void report(assigner_process &subject, order_id id, order_reply reply, time_span after);
     order_outcome apply(process &target, key_range keys, std::uint64_t token, std::optional<time_span> length, monotonic_time arrival);
     void publishDirectory();
     void checkInvariants();
@@ -138,6 +154,7 @@
     ownership_view m_view;
     std::uint64_t m_storeEpoch = 0;
     bool m_storeUnavailable = false;
+    std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastStartedAtMs = 0;
     monotonic_time m_nextFault{};
     std::vector<std::string> m_violations;
--- a/tests/unit/key_ownership/random_ownership_test.cpp
+++ b/tests/unit/key_ownership/random_ownership_test.cpp
@@ -10,7 +10,12 @@
 void checkSeeds(std::uint64_t first, std::uint64_t last)
 {
     for (std::uint64_t seed = first; seed <= last; ++seed) {
-        ownership_simulation simulation({ seed, 6, std::chrono::milliseconds(700), true });
+        simulation_options options;
+        options.seed = seed;
+        options.checkTokens = true;
+        options.endpointsCheckId = seed % 2 == 0;
+        options.connectionLoss = 0.02;
+        ownership_simulation simulation(options);
         simulation.run(std::chrono::seconds(40));
         cr_assert(simulation.violations().empty(),
                   "seed %lu: %zu violations, first: %s",
--- a/tests/unit/key_ownership/restarted_endpoint_test.cpp
+++ b/tests/unit/key_ownership/restarted_endpoint_test.cpp
@@ -15,6 +15,8 @@
     options.seed = seed;
     options.faults = faults;
     options.checkTokens = true;
+    options.endpointsCheckId = seed % 2 == 0;
+    options.connectionLoss = 0.02;
     return options;
 }
 
--- a/tests/unit/platform/order_codec_test.cpp
+++ b/tests/unit/platform/order_codec_test.cpp
@@ -9,8 +9,10 @@
 Test(order_codec, writes_grants_and_releases)
 {
     const endpoint_incarnation incarnation{ endpoint_id("e"), 1, network_address("10.0.0.1:80") };
-    const std::string grant = platform::encodeGrant({ order_id(1), incarnation, { 4096, 8191 }, fencing_token(12), std::chrono::milliseconds(4000), "h" });
+    const std::string grant
+        = platform::encodeGrant({ order_id(1), incarnation, { 4096, 8191 }, fencing_token(12), std::chrono::milliseconds(4000), std::nullopt, "h" });
     cr_expect(grant.starts_with("POST /api/grant HTTP/1.1\r\n"));
+    cr_expect_neq(grant.find("Expected-Instance: e\r\n"), std::string::npos);
     const nlohmann::json body = nlohmann::json::parse(grant.substr(grant.find("\r\n\r\n") + 4));
     cr_expect(body == nlohmann::json({ { "From", 4096 }, { "Target", 8191 }, { "fence", 12 }, { "HoldMs", 4000 }, { "Handover", "h" } }));
     const std::string release = platform::encodeRelease({ order_id(2), incarnation, { 5, 6 }, fencing_token(13) });
@@ -26,6 +28,8 @@
     cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::accepted);
     result.response.status = 409;
     cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::superseded);
+    result.response.status = 421;
+    cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::misdirected);
     result.response.status = 400;
     cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::refused);
     result.response.status = 503;
