Test restarted endpoints with processes, and pools of a single connection

The stand-in of an endpoint resets its connections when it crashes, and rejects orders for other endpoints.

--- a/tests/integration/platform_standin.py
+++ b/tests/integration/platform_standin.py
@@ -3,6 +3,7 @@
 import copy
 import http.server
 import json
+import socket
 import struct
 import threading
 import time
@@ -139,6 +140,14 @@
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
+    def setup(self):
+        super().setup()
+        self.server.listener.connections.add(self.connection)
+
+    def finish(self):
+        self.server.listener.connections.discard(self.connection)
+        super().finish()
+
     def log_message(self, *_):
         pass
 
@@ -171,6 +180,7 @@
     def __init__(self, address):
         host, port = address.split(":")
         self.address = address
+        self.connections = set()
         self.http = http.server.ThreadingHTTPServer((host, int(port)), Handler)
         self.http.daemon_threads = True
         self.http.listener = self
@@ -180,6 +190,17 @@
         self.http.shutdown()
         self.http.server_close()
 
+    def crash(self):
+        """Stops listening and resets all connections, as the end of the process does."""
+        self.close()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The connection was closed meanwhile.
+                pass
+
 
 class StoreServer(Listener):
     def __init__(self, address):
@@ -217,19 +238,24 @@
 class Endpoint(Listener):
     """An endpoint that is registered in the store, tracks the keys granted to it, and answers requests for them."""
 
-    def __init__(self, store, name, service, address, zone="z1", divided=True):
+    def __init__(self, store, name, service, address, zone="z1", divided=True, registered=True):
         self.store, self.name, self.service, self.zone, self.divided = store, name, service, zone, divided
         self.lock = threading.Lock()
         self.grants = {}
         self.highest_fencing_tokens = [0] * 65536
         self.handovers = []
+        # Accepted grants: first key, last key, fencing token.
+        self.accepted = []
+        # Rejects orders for other endpoints, as it rejects requests for them.
+        self.checks_orders = True
         self.runs = []
         self.arrivals = []
         # Requests a second that the endpoint names as its limit in all responses.
         self.request_limit = None
         self.started_ms = int(time.time() * 1000)
         super().__init__(address)
-        self.register("ready")
+        if registered:
+            self.register("ready")
 
     def register(self, state):
         self.store.put("keyed.servers", self.name, {
@@ -254,6 +280,7 @@
             for key in keys:
                 self.highest_fencing_tokens[key] = body["fence"]
                 self.grants[key] = (body["fence"], time.monotonic() + body["HoldMs"] / 1000)
+            self.accepted.append((body["From"], body["Target"], body["fence"]))
             if "Handover" in body:
                 self.handovers.append(body["Handover"])
         return 200
@@ -279,7 +306,10 @@
 
     def handle(self, request, method):
         body = request.read_body()
-        if request.path == "/api/grant":
+        is_order = request.path in ("/api/grant", "/api/release")
+        if is_order and self.checks_orders and request.headers.get("Expected-Instance", self.name) != self.name:
+            request.reply(421, b"", {"Not-Executed": "1"})
+        elif request.path == "/api/grant":
             request.reply(self.grant(json.loads(body)))
         elif request.path == "/api/release":
             request.reply(self.release(json.loads(body)), b"", {"Handover": "handover-of-" + self.name})
--- a/tests/unit/http_client/http_connection_pool_test.cpp
+++ b/tests/unit/http_client/http_connection_pool_test.cpp
@@ -143,3 +143,63 @@
     cr_expect_eq(results[0], result_code::body_too_large);
     cr_expect_eq(settings.budget->used(), 0U);
 }
+
+// Guards against a request that reaches another process after the connection to the first one was lost, and against requests that are never
+// answered because the only connection was lost while they waited for it.
+Test(http_connection_pool, single_connection_is_not_opened_again)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    unresponsive_server server(context);
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    settings.singleConnection = true;
+    http_connection_pool pool(executor, server.address(), settings);
+    std::vector<http_exchange_result> results;
+    const auto done = [&](http_exchange_result result) {
+        results.push_back(std::move(result));
+    };
+    pool.exchange(request, false, 1s, done);
+    pool.exchange(request, false, 1s, done);
+    context.run_for(200ms);
+    cr_assert_eq(results.size(), 2U);
+    cr_expect(results[0].code == result_code::ok && results[1].code == result_code::ok);
+    cr_expect(results[0].connection == results[1].connection);
+    server.makeOpenConnectionsUnresponsive();
+    for (int i = 0; i < 3; ++i) {
+        pool.exchange(request, false, i == 0 ? time_span(100ms) : time_span(1s), done);
+    }
+    context.run_for(300ms);
+    cr_assert_eq(results.size(), 5U);
+    cr_expect_eq(results[2].code, result_code::deadline_while_running);
+    cr_expect(results[2].sent && !results[3].sent && !results[4].sent);
+    cr_expect_not(pool.isUsable());
+    pool.exchange(request, false, 1s, done);
+    context.run_for(100ms);
+    cr_assert_eq(results.size(), 6U);
+    cr_expect_not(results[5].sent);
+    cr_expect_eq(server.accepted(), 1U);
+}
+
+// Guards against requests that are never answered because the only connection could not be opened.
+Test(http_connection_pool, single_connection_that_is_refused_fails_all_requests)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    settings.singleConnection = true;
+    // Nothing listens on this port.
+    http_connection_pool pool(executor, network_address("127.0.0.1:1"), settings);
+    std::vector<http_exchange_result> results;
+    for (int i = 0; i < 3; ++i) {
+        pool.exchange(request, false, 1s, [&](http_exchange_result result) {
+            results.push_back(std::move(result));
+        });
+    }
+    context.run_for(200ms);
+    cr_assert_eq(results.size(), 3U);
+    for (const http_exchange_result &result : results) {
+        cr_expect_not(result.sent);
+    }
+}
