Take a health check that another process answers for no sign of the endpoint

The assigner probes an endpoint that does not answer orders with a health check at its address, and any answer made the endpoint usable again. If the endpoint has ended and another process has its address, that process answers: keys would be assigned to the lost endpoint again, until the directory names its successor. The answer names its endpoint, which is compared now.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -186,12 +186,9 @@
 void endpoint_connections::send(const probe_endpoint &order, const std::string &healthPath, order_callback done)
 {
     std::string wire = platform::encodeHealthCheck(order.endpoint, healthPath);
-    d->poolOf(order.endpoint.address)
-        .exchange(std::move(wire), false, probeTimeout, [id = order.order, done = std::move(done)](const http_exchange_result &result) {
-            // Any answer shows that the endpoint is reachable.
-            const order_outcome failed = result.sent ? order_outcome::unanswered : order_outcome::unsent;
-            done(id, { result.code == result_code::ok ? order_outcome::accepted : failed, {}, result.connection });
-        });
+    d->poolOf(order.endpoint.address).exchange(std::move(wire), false, probeTimeout, [order, done = std::move(done)](const http_exchange_result &result) {
+        done(order.order, platform::decodeHealthReply(result, order.endpoint.endpoint));
+    });
 }
 
 void endpoint_connections::closeGrantConnections()
--- a/tests/unit/platform/order_codec_test.cpp
+++ b/tests/unit/platform/order_codec_test.cpp
@@ -39,3 +39,19 @@
     result.sent = false;
     cr_expect(platform::decodeOrderReply(result).outcome == order_outcome::unsent);
 }
+
+// Guards against a lost endpoint that counts as reachable because another process answers the health check at its address.
+Test(order_codec, health_check_answered_by_another_process_says_nothing_of_the_endpoint)
+{
+    http_exchange_result result;
+    result.response.status = 200;
+    result.response.fields = { { "Instance-Id", "e-new" } };
+    cr_expect(platform::decodeHealthReply(result, endpoint_id("e")).outcome == order_outcome::misdirected);
+    cr_expect(platform::decodeHealthReply(result, endpoint_id("e-new")).outcome == order_outcome::accepted);
+    result.response.status = 503;
+    cr_expect(platform::decodeHealthReply(result, endpoint_id("e-new")).outcome == order_outcome::accepted);
+    result.code = result_code::deadline_while_running;
+    cr_expect(platform::decodeHealthReply(result, endpoint_id("e")).outcome == order_outcome::unanswered);
+    result.sent = false;
+    cr_expect(platform::decodeHealthReply(result, endpoint_id("e")).outcome == order_outcome::unsent);
+}
