Ignore load and request limit in the answer of another endpoint

An endpoint that is not the intended one answers 421, with its own load and without a request limit or with its own. Both were recorded for the intended endpoint, whose limit then counted as lifted. The new test fails without the change (estimated load 18 instead of 0).

--- a/libs/gateway/endpoint_limiter.cpp
+++ b/libs/gateway/endpoint_limiter.cpp
@@ -256,14 +256,15 @@
 
 void endpoint_limiter::recordRequestLimit(const endpoint_reply &reply, monotonic_time now)
 {
-    if (hasResponse(reply)) {
+    // Another endpoint may have answered a misdirected request.
+    if (hasResponse(reply) && !reply.misdirected) {
         m_requestLimit.recordResponse(reply.requestLimit, now);
     }
 }
 
 void endpoint_limiter::recordLoadReport(const endpoint_reply &reply, monotonic_time now)
 {
-    if (reply.load) {
+    if (reply.load && !reply.misdirected) {
         m_loadReport = *reply.load;
         m_ownInLoadReport = m_inFlight;
         m_loadReportedAt = now;
--- a/tests/unit/gateway/endpoint_limiter_test.cpp
+++ b/tests/unit/gateway/endpoint_limiter_test.cpp
@@ -60,3 +60,25 @@
     limiter.failed(refusalOfFullEndpoint(), start + 1s);
     cr_expect(limiter.hasCapacity(start + 1s + 60ms), "the backoff starts again at its initial value");
 }
+
+// Guards against the load and the request limit of another process at the address of an endpoint that are taken for those of the endpoint.
+Test(endpoint_limiter, misdirected_request_says_nothing_of_the_endpoint)
+{
+    endpoint_limiter limiter{ listed_endpoint{} };
+    const monotonic_time start(10s);
+    limiter.sent(start);
+    endpoint_reply answer;
+    answer.kind = reply_kind::answered;
+    answer.response.status = 200;
+    answer.requestLimit = request_rate(5);
+    limiter.answered(answer, 50ms, 50ms, start);
+    limiter.sent(start);
+    endpoint_reply misdirected;
+    misdirected.kind = reply_kind::not_run;
+    misdirected.misdirected = true;
+    misdirected.response.status = 421;
+    misdirected.load = endpoint_load{ 9, 9, 2 };
+    limiter.failed(misdirected, start);
+    cr_expect(limiter.requestLimit() == request_rate(5));
+    cr_expect_float_eq(limiter.estimatedLoad(start), 0, 0.001);
+}
