Move the keys of an endpoint at whose address another process answers

An order that another process rejects (421) shows that the process for which it was meant has terminated, seconds before the directory says so when the endpoint is cut off from the store. Its keys waited for the expiry of its grant nevertheless. The incarnation counts as terminated now: it holds nothing, and its keys are assigned anew at once. The new test fails without the change: the keys are not served 3 s after the restart.

--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -82,6 +83,8 @@
     detail::responsiveness_tracker responsiveness;
     /** Maps each terminated incarnation to the one that replaced it at its address or under its id. */
     std::map<endpoint_incarnation, endpoint_incarnation> endedIncarnations;
+    /** Incarnations at whose address another process answers, before the directory says so. */
+    std::set<endpoint_incarnation> terminatedIncarnations;
     std::map<order_id, pending_order> orders;
     std::map<endpoint_incarnation, std::uint32_t> grantsInFlight;
     key_load load;
@@ -95,6 +98,10 @@
     bool mostEndpointsUnresponsive() const;
     /** Returns the later incarnation at the same address or under the same id, which proves that @p incarnation has terminated; else nullptr. */
     const endpoint_incarnation *successorOf(const endpoint_incarnation &incarnation) const;
+    /** Returns whether the process of @p incarnation is known to have terminated. */
+    bool hasTerminated(const endpoint_incarnation &incarnation) const;
+    /** Records that another process answers at the address of @p incarnation, which therefore holds nothing. */
+    void recordTermination(const endpoint_incarnation &incarnation, monotonic_time now);
     void indexEndpoints();
     void detectEndedIncarnations();
     /**
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -41,7 +41,7 @@
 bool key_assigner::impl::isUsable(const listed_endpoint &endpoint) const
 {
     const endpoint_incarnation &incarnation = endpoint.entry.incarnation;
-    return !endpoint.entry.draining && !endpoint.missingUntil && !responsiveness.isUnresponsive(incarnation) && !endedIncarnations.contains(incarnation);
+    return !endpoint.entry.draining && !endpoint.missingUntil && !responsiveness.isUnresponsive(incarnation) && !hasTerminated(incarnation);
 }
 
 bool key_assigner::impl::mostEndpointsUnresponsive() const
@@ -62,6 +62,23 @@
     return byId != newestById.end() && byId->second.startedAtMs > incarnation.startedAtMs ? &byId->second : nullptr;
 }
 
+bool key_assigner::impl::hasTerminated(const endpoint_incarnation &incarnation) const
+{
+    return endedIncarnations.contains(incarnation) || terminatedIncarnations.contains(incarnation);
+}
+
+void key_assigner::impl::recordTermination(const endpoint_incarnation &incarnation, monotonic_time now)
+{
+    if (hasTerminated(incarnation)) {
+        return;
+    }
+    note("endpoint_life_ended", { { "endpoint", incarnation.endpoint.value() }, { "successor", "unknown" } });
+    terminatedIncarnations.insert(incarnation);
+    expiries.ended(incarnation);
+    responsiveness.forget(incarnation);
+    nextPlan = now;
+}
+
 void key_assigner::impl::indexEndpoints()
 {
     newestAtAddress.clear();
@@ -98,6 +115,7 @@
 {
     note("endpoint_life_ended", { { "endpoint", incarnation.endpoint.value() }, { "successor", successor.endpoint.value() } });
     endedIncarnations[incarnation] = successor;
+    terminatedIncarnations.erase(incarnation);
     expiries.extend(successor, expiries.expiry(incarnation));
     expiries.ended(incarnation);
     grantsInFlight[successor] += std::exchange(grantsInFlight[incarnation], 0);
@@ -128,6 +146,8 @@
         responsiveness.answered(incarnation);
         break;
     case order_outcome::misdirected:
+        recordTermination(incarnation, now);
+        break;
     case order_outcome::unanswered:
     case order_outcome::unsent:
         responsiveness.failed(incarnation, now);
--- a/libs/key_ownership/key_assigner_orders.cpp
+++ b/libs/key_ownership/key_assigner_orders.cpp
@@ -81,7 +81,7 @@
 
 bool key_assigner::impl::holdsNothing(const endpoint_incarnation &incarnation, monotonic_time now) const
 {
-    if (endedIncarnations.contains(incarnation)) {
+    if (hasTerminated(incarnation)) {
         return true;
     }
     const auto inFlight = grantsInFlight.find(incarnation);
@@ -112,7 +112,7 @@
     if (mayDecide) {
         releaseOtherHolders(subject, now);
     }
-    if (!subject.otherHolders.empty() || !subject.hasOwner() || subject.grantOrder || now < subject.nextGrant || endedIncarnations.contains(subject.owner)) {
+    if (!subject.otherHolders.empty() || !subject.hasOwner() || subject.grantOrder || now < subject.nextGrant || hasTerminated(subject.owner)) {
         return;
     }
     grantOwner(subject, now);
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -64,7 +64,7 @@
            { "to", owner.endpoint.value() },
            { "reason", std::string(reason) },
            { "token", std::to_string(nextToken + 1) } });
-    if (subject.hasOwner() && subject.settled && subject.changedInRevision <= writtenRevision && !endedIncarnations.contains(subject.owner)) {
+    if (subject.hasOwner() && subject.settled && subject.changedInRevision <= writtenRevision && !hasTerminated(subject.owner)) {
         if (subject.grantedOn) {
             subject.renewUntilWritten.push_back({ subject.owner, subject.keys, subject.newestToken(), *subject.grantedOn });
         }
--- a/tests/unit/key_ownership/key_assigner_test.cpp
+++ b/tests/unit/key_ownership/key_assigner_test.cpp
@@ -105,3 +105,24 @@
     cr_expect(simulation.longestUnserved() < std::chrono::milliseconds(50));
     cr_expect(simulation.violations().empty(), "%s", simulation.violations().empty() ? "" : simulation.violations().front().c_str());
 }
+
+// Guards against keys that wait for the expiry of their grant although another process answers at the address of their holder.
+Test(key_assigner, keys_of_a_replaced_endpoint_move_without_waiting_for_its_grant)
+{
+    simulation_options options;
+    options.seed = 7;
+    options.faults = false;
+    options.checkTokens = true;
+    options.endpointsCheckId = true;
+    ownership_simulation simulation(options);
+    simulation.run(std::chrono::seconds(3));
+    simulation.crashUnnoticed(1);
+    simulation.run(std::chrono::milliseconds(50));
+    simulation.restart(1, std::chrono::seconds(4), false);
+    simulation.run(std::chrono::seconds(3));
+    cr_expect_eq(simulation.servedKeys(), ownership_simulation::watchedKeys());
+    // A renewal that is lost with its connection, the retry that the other process rejects, and 200 ms for the decision and the new grant.
+    const assigner_settings settings;
+    cr_expect(simulation.longestUnserved() < settings.renewInterval + std::chrono::milliseconds(250) + settings.retryInterval + std::chrono::milliseconds(200));
+    cr_expect(simulation.violations().empty(), "%s", simulation.violations().empty() ? "" : simulation.violations().front().c_str());
+}
--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -388,11 +388,16 @@
 }
 
 void ownership_simulation::restart(std::size_t endpoint, time_span registerAfter)
+{
+    // Some processes keep the id of their predecessor; most get a new one.
+    restart(endpoint, registerAfter, chance(0.3));
+}
+
+void ownership_simulation::restart(std::size_t endpoint, time_span registerAfter, bool keepId)
 {
     process &subject = m_processes[endpoint];
     const std::uint64_t startedAtMs = ++m_lastStartedAtMs;
-    // Some processes keep the id of their predecessor; most get a new one.
-    const endpoint_id id = chance(0.3) ? subject.incarnation.endpoint : endpoint_id("e" + std::to_string(endpoint) + "-" + std::to_string(startedAtMs));
+    const endpoint_id id = keepId ? subject.incarnation.endpoint : endpoint_id("e" + std::to_string(endpoint) + "-" + std::to_string(startedAtMs));
     subject.incarnation = { id, startedAtMs, subject.incarnation.address };
     subject.up = true;
     subject.draining = false;
--- a/tests/unit/key_ownership/ownership_simulation.h
+++ b/tests/unit/key_ownership/ownership_simulation.h
@@ -72,6 +72,7 @@
     void crashUnnoticed(std::size_t endpoint);
     /** Starts a new process at the address of a crashed endpoint. It registers after @p registerAfter. */
     void restart(std::size_t endpoint, time_span registerAfter);
+    void restart(std::size_t endpoint, time_span registerAfter, bool keepId);
     void setUnreachable(std::size_t endpoint, bool unreachable);
     void setDraining(std::size_t endpoint);
     /** Replaces the assigner. The old one continues for some time without knowing. */
