Draw in one order on every processor in the ownership harness

Cause: on arm64 the test deliberate_defects_are_detected failed, as seeds 5 and 12 found no violation. Five expressions drew twice among the operands of an overloaded operator or the arguments of a call: fake_network::send, fake_log::latency, twice fault_injector::injectInstanceFault, and live_list_baseline::change. The language leaves their order open. g++ 12 on arm64 evaluates them left to right, as a small program shows; on x86-64 it evaluates them right to left. So a seed gave another run.

Change: each draw has a statement of its own, in the order right to left, which the runs on x86-64 had. Seeds, checks and bounds are unchanged.

--- a/tests/harness/fake_log.cpp
+++ b/tests/harness/fake_log.cpp
@@ -22,7 +22,8 @@
 
 time_span fake_log::latency()
 {
-    return m_random.span(500us, 3ms) + (m_faults.extraLatency.count() > 0 ? m_random.span(0us, m_faults.extraLatency) : time_span(0));
+    const time_span extraLatency = m_faults.extraLatency.count() > 0 ? m_random.span(0us, m_faults.extraLatency) : time_span(0);
+    return m_random.span(500us, 3ms) + extraLatency;
 }
 
 log_offset fake_log::store(const append_records &request)
--- a/tests/harness/fake_network.cpp
+++ b/tests/harness/fake_network.cpp
@@ -19,7 +19,8 @@
     time_span last{};
     for (int i = 0; i < copies; ++i) {
         const bool lost = !connected(from, to) || m_random.chance(m_faults.loss);
-        const time_span delay = m_random.span(300us, 1200us) + m_random.span(0us, m_faults.extraDelay);
+        const time_span extraDelay = m_random.span(0us, m_faults.extraDelay);
+        const time_span delay = m_random.span(300us, 1200us) + extraDelay;
         if (!lost) {
             m_scheduler.after(delay, deliver);
             last = std::max(last, delay);
--- a/tests/harness/fault_injector.cpp
+++ b/tests/harness/fault_injector.cpp
@@ -93,7 +93,9 @@
     const double kind = random.real(0, 1);
     if (kind < 0.5) {
         m_cluster.trace("pause " + host->settings().incarnation.value());
-        host->pauseFor(random.chance(0.5) ? random.span(20ms, 500ms) : random.span(500ms, 3s), random.chance(0.6));
+        const bool beforeNextAction = random.chance(0.6);
+        const time_span duration = random.chance(0.5) ? random.span(20ms, 500ms) : random.span(500ms, 3s);
+        host->pauseFor(duration, beforeNextAction);
         return;
     }
     if (aliveInstances() < 3 || m_cluster.scheduler().now() - m_lastInstanceLoss < instanceLossInterval) {
@@ -105,7 +107,8 @@
         replaceInstance(index);
     } else if (kind < 0.85) {
         // The platform replaces a process that is only paused; the old process resumes later.
-        host->pauseFor(random.span(200ms, 4s), random.chance(0.5));
+        const bool beforeNextAction = random.chance(0.5);
+        host->pauseFor(random.span(200ms, 4s), beforeNextAction);
         m_cluster.startInstance(index);
     } else {
         m_cluster.stopInstance(index);
--- a/tests/harness/live_list_baseline.cpp
+++ b/tests/harness/live_list_baseline.cpp
@@ -26,7 +26,8 @@
     std::vector<time_span> switches;
     for (std::size_t i = 0; i < m_entryInstances; ++i) {
         // Same delays as in simulated_cluster: the list is read every 250 ms and lags by up to 2 s.
-        switches.push_back(m_random.span(0ms, 250ms) + m_random.span(50ms, 2s));
+        const time_span listLag = m_random.span(50ms, 2s);
+        switches.push_back(m_random.span(0ms, 250ms) + listLag);
     }
     result.firstSwitch = *std::min_element(switches.begin(), switches.end());
     result.lastSwitch = *std::max_element(switches.begin(), switches.end());
--- a/tests/harness/seeded_random.h
+++ b/tests/harness/seeded_random.h
@@ -8,7 +8,12 @@
 namespace sycamoretray::harness
 {
 
-/** Source of all random choices of a run, so that the seed reproduces the run. Thread safety: none. */
+/**
+ * Source of all random choices of a run, so that the seed reproduces the run. Thread safety: none.
+ *
+ * Of the operands of an operator or the arguments of a call at most one draws: the compiler chooses their order of evaluation,
+ * differently for each processor, and a seed has to give the same run on all of them.
+ */
 class seeded_random
 {
 public:
