--- a/tests/integration/endpoint_faults_test.py
+++ b/tests/integration/endpoint_faults_test.py
@@ -21,6 +21,13 @@
     """An endpoint whose `fault`, if set, is called with each request and writes the answer."""
 
     fault = None
+    # If set, called with each request before its body is read.
+    early_fault = None
+
+    def handle(self, request, method):
+        if self.early_fault is not None:
+            self.early_fault(request)
+        super().handle(request, method)
 
     def run(self, request, body):
         if self.fault is None:
@@ -77,6 +84,68 @@
             time.sleep(0.01)
         self.assertEqual(len({run[0] for run in self.faulty.runs}), len(self.faulty.runs))
 
+    def refuse(self, request, attempt=None):
+        """Returns a refusal of the request; the attempt "" leaves out the id."""
+        identity = f"Attempt-Id: {attempt or request.headers['Attempt-Id']}\r\n" if attempt != "" else ""
+        return f"HTTP/1.1 503 Service Unavailable\r\n{identity}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+
+    def assert_run_once_and_not_refused(self, outcome, executed, what):
+        """Checks the outcome of a call that the endpoint ran."""
+        status, _, text, attempt = outcome
+        self.assertEqual(executed.count(attempt), 1, (what, status, text))
+        self.assertNotIn(status, (408, 421, 429, 503), (what, text))
+
+    def test_earlier_refusal_is_written_again(self):
+        """Guards against a refusal of an earlier request that is taken for the answer to a request that runs."""
+        moments = {
+            # Delay of the copy after the first refusal (None: with the next request), and time for which the endpoint then runs the next request.
+            "same segment": (0, 0.1),
+            "between requests": (0.02, 0.1),
+            "next request arrives": (None, 0.1),
+            "body is being sent": (None, 0.1),
+        }
+        body = b"1" * 8000000
+        for with_id in (True, False):
+            for moment, (delay, run_time) in moments.items():
+                executed, refused, used = [], {}, []
+
+                def fault(request, with_id=with_id, moment=moment, delay=delay, run_time=run_time, executed=executed, refused=refused, used=used):
+                    attempt = request.headers["Attempt-Id"]
+                    earlier = refused.get(request.connection)
+                    if request.path.startswith("/credit/refused/"):
+                        answer = self.refuse(request)
+                        refused[request.connection] = self.refuse(request, None if with_id else "")
+                        request.wfile.write(answer + (refused[request.connection] if delay == 0 else b""))
+                        request.wfile.flush()
+                        if delay:
+                            time.sleep(delay)
+                            request.wfile.write(refused[request.connection])
+                        return
+                    executed.append(attempt)
+                    used.append(request.connection)
+                    if earlier and moment == "next request arrives":
+                        request.wfile.write(earlier)
+                        request.wfile.flush()
+                    time.sleep(run_time)
+                    request.wfile.write(self.faulty.response_head(request, "Content-Length: 4") + b"done")
+
+                def early_fault(request, moment=moment, refused=refused):
+                    if request.connection in refused and moment == "body is being sent" and request.path == "/credit/x":
+                        request.wfile.write(refused[request.connection])
+                        request.wfile.flush()
+                        time.sleep(0.05)
+
+                self.faulty.fault, self.faulty.early_fault = fault, early_fault
+                for pause in (0, 0.02, 0.05):
+                    self.gateways[0].call("/credit/refused/", "POST", body=b"1")
+                    time.sleep(pause)
+                    outcome = self.gateways[0].call("/credit/", "POST", body=body if moment == "body is being sent" else b"1")
+                    self.assert_run_once_and_not_refused(outcome, executed, (with_id, moment, pause))
+                    if with_id:
+                        self.assertEqual(outcome[0], 200, (moment, pause))
+                # Each of these connections then carried another request and a copy of its refusal, after which it must not be used.
+                self.assertEqual(len(set(used)), len(used), (with_id, moment))
+
     def test_truncated_answer(self):
         """A truncated answer must not be passed on as complete, nor answered with a status that says the request was not executed."""
         shapes = {
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -71,6 +71,17 @@
               == reply_kind::failed);
 }
 
+// Guards against a copy of an earlier response, also one that names no request, that is taken for the response to a later request.
+Test(request_codec, only_the_id_shows_that_a_response_belongs_to_a_request)
+{
+    const request_id id("id1");
+    for (const std::uint32_t status : { 200U, 409U, 421U, 429U, 500U, 503U }) {
+        cr_expect(platform::belongsTo(answered(status, { { "Attempt-Id", "id1" } }).response, id));
+        cr_expect_not(platform::belongsTo(answered(status, { { "Attempt-Id", "id2" }, { "Not-Executed", "1" } }).response, id));
+        cr_expect_not(platform::belongsTo(answered(status, { { "Not-Executed", "1" } }).response, id));
+    }
+}
+
 // Guards against reporting "not run" for requests that may have run.
 Test(request_codec, reports_not_run_only_if_the_endpoint_says_so)
 {
