Send the retry of a refused request on another connection

A request that may not be repeated ran twice when the endpoint refused it, ran its retry on the same connection, and first wrote the refusal once more: the retry has the id of the first attempt, so that the copy was taken for the answer to the retry, and the request was sent again while it ran.

A connection now remembers the requests that got a response other than a success on it, and does not carry them again; after 64 of these it is replaced. If no idle connection suits a request, one is opened, at the limit of connections in place of an idle one.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -155,10 +155,12 @@
         d->attempts.erase(attempt);
         d->replied(attempt, platform::decodeReply(std::move(result), id));
     };
-    const auto belongsToRequest = [id](const http_response &response) {
+    response_matching matching;
+    matching.matches = [id](const http_response &response) {
         return platform::belongsTo(response, id);
     };
-    const std::uint64_t exchange = d->poolOf(address).exchange(std::move(wire), request.message.method == "HEAD", timeLeft, done, belongsToRequest);
+    matching.identity = id.value();
+    const std::uint64_t exchange = d->poolOf(address).exchange(std::move(wire), request.message.method == "HEAD", timeLeft, done, std::move(matching));
     d->attempts[attempt] = { address, exchange };
 }
 
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+// A connection is replaced after this number of responses other than a success.
+constexpr std::size_t maxFailedIdentities = 64;
+
 connection_number nextNumber()
 {
     static std::atomic<std::uint64_t> last = 0;
@@ -176,17 +179,36 @@
 {
     http_exchange_result result;
     result.response = m_parser.take();
-    if (m_exchange.matchesRequest && m_finishedExchanges > 0 && !m_exchange.matchesRequest(result.response)) {
+    if (m_exchange.matching.matches && m_finishedExchanges > 0 && !m_exchange.matching.matches(result.response)) {
         m_receivedStrayResponse = true;
         m_parser.reset(m_exchange.headRequest);
         return false;
     }
-    const bool reusable = result.response.keepAlive && !moreData && !m_writing && !m_receivedStrayResponse;
+    rememberIdentity(result.response);
+    const bool full = m_failedIdentities.size() >= maxFailedIdentities;
+    const bool reusable = result.response.keepAlive && !moreData && !m_writing && !m_receivedStrayResponse && !full;
     ++m_finishedExchanges;
     finish(std::move(result), reusable);
     return true;
 }
 
+void client_connection::rememberIdentity(const http_response &response)
+{
+    const bool success = response.status >= 200 && response.status < 300;
+    if (!success && !m_exchange.matching.identity.empty()) {
+        m_failedIdentities.push_back(std::move(m_exchange.matching.identity));
+    }
+}
+
+bool client_connection::suits(const pending_exchange &exchange) const
+{
+    if (m_finishedExchanges == 0) {
+        return true;
+    }
+    const auto last = m_failedIdentities.end();
+    return !exchange.matching.newConnection && std::find(m_failedIdentities.begin(), last, exchange.matching.identity) == last;
+}
+
 void client_connection::connectionEnded(const boost::system::error_code &error)
 {
     if (m_busy && error == boost::asio::error::eof) {
--- a/libs/http_client/detail/client_connection.h
+++ b/libs/http_client/detail/client_connection.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace sycamoretray::detail
 {
@@ -21,7 +22,7 @@
     bool headRequest = false;
     monotonic_time deadline;
     http_connection_pool::callback done;
-    http_connection_pool::filter matchesRequest;
+    response_matching matching;
 };
 
 /**
@@ -82,6 +83,9 @@
         return m_number;
     }
 
+    /** Returns whether a response to @p exchange can be told from responses to earlier exchanges of this connection. */
+    bool suits(const pending_exchange &exchange) const;
+
     /** End of the connect timeout while connecting, of the idle timeout while idle. Maintained by the pool. */
     monotonic_time deadline;
 
@@ -90,6 +94,7 @@
     void received(const boost::system::error_code &error, std::size_t size);
     void parseReceived(std::string_view data);
     bool finishWithResponse(bool moreData);
+    void rememberIdentity(const http_response &response);
     void connectionEnded(const boost::system::error_code &error);
     void setOptions();
     void finish(http_exchange_result result, bool reusable);
@@ -111,6 +116,8 @@
     time_span m_unresponsivePeerTimeout;
     /** Number of exchanges that completed on this connection. */
     std::uint32_t m_finishedExchanges = 0;
+    /** Identities of the requests that got a response other than a success on this connection. */
+    std::vector<std::string> m_failedIdentities;
     /** A response that matched no request was received, so more may follow; the connection is not reused. */
     bool m_receivedStrayResponse = false;
 };
--- a/libs/http_client/http_connection_pool.cpp
+++ b/libs/http_client/http_connection_pool.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -80,30 +81,58 @@
 
     void openNeeded()
     {
-        if (closed || !addressValid || (settings.singleConnection && opened)) {
+        if (closed || !addressValid) {
+            return;
+        }
+        if (settings.singleConnection && opened) {
+            if (connections.empty()) {
+                failWaiting();
+            }
             return;
         }
         const std::size_t connecting = connectingCount();
         std::size_t wanted = waiting.size();
-        if (steadyNow() >= spareRetryAt) {
-            wanted += settings.spareConnections;
+        if (steadyNow() >= spareRetryAt && settings.spareConnections > idle.size()) {
+            wanted += settings.spareConnections - idle.size();
         }
-        const std::size_t available = idle.size() + connecting;
-        std::size_t needed = wanted > available ? wanted - available : 0;
+        std::size_t needed = wanted > connecting ? wanted - connecting : 0;
+        makeRoomForWaiting();
         needed = std::min(needed, settings.maxConnections - std::min<std::size_t>(connections.size(), settings.maxConnections));
         for (std::size_t i = 0; i < needed; ++i) {
             openOne();
         }
     }
 
+    /** Closes an idle connection if requests that it does not suit wait and no other connection can be opened. */
+    void makeRoomForWaiting()
+    {
+        if (!waiting.empty() && !idle.empty() && connections.size() >= settings.maxConnections && connectingCount() == 0) {
+            client_connection &leastUsed = *idle.front();
+            leastUsed.close();
+            remove(leastUsed);
+        }
+    }
+
+    /** Starts @p exchange on the most recently used idle connection that suits it; returns false if there is none. */
+    bool startOnIdle(pending_exchange &exchange)
+    {
+        const auto found = std::find_if(idle.rbegin(), idle.rend(), [&](const client_connection *connection) {
+            return connection->suits(exchange);
+        });
+        if (found == idle.rend()) {
+            return false;
+        }
+        client_connection *connection = *found;
+        std::erase(idle, connection);
+        connection->start(std::move(exchange));
+        return true;
+    }
+
+    /** Starts the requests that an idle connection suits, so that none that still waits can use one. */
     void startWaiting()
     {
-        while (!waiting.empty() && !idle.empty()) {
-            client_connection *connection = idle.back();
-            idle.pop_back();
-            pending_exchange exchange = std::move(waiting.front());
-            waiting.pop_front();
-            connection->start(std::move(exchange));
+        for (auto next = waiting.begin(); next != waiting.end() && !idle.empty();) {
+            next = startOnIdle(*next) ? waiting.erase(next) : std::next(next);
         }
         openNeeded();
     }
@@ -114,9 +143,6 @@
         std::erase_if(connections, [&](const auto &candidate) {
             return candidate.get() == &connection;
         });
-        if (!isUsable()) {
-            failWaiting();
-        }
     }
 
     void failWaiting()
@@ -169,7 +195,7 @@
         remove(connection);
         spareRetryAt = steadyNow() + spareRetryInterval;
         // One failed connection fails one request. The others may still get the connections being opened.
-        if (!waiting.empty() && idle.empty()) {
+        if (!waiting.empty()) {
             const pending_exchange exchange = std::move(waiting.front());
             waiting.pop_front();
             failUnsent(exchange, result_code::peer_unreachable);
@@ -322,19 +348,15 @@
     d->armSweep();
 }
 
-std::uint64_t http_connection_pool::exchange(std::string wire, bool headRequest, time_span timeout, callback done, filter matchesRequest)
+std::uint64_t http_connection_pool::exchange(std::string wire, bool headRequest, time_span timeout, callback done, response_matching matching)
 {
     const std::uint64_t id = ++d->lastId;
     if (!d->isUsable()) {
         d->failLater(std::move(done));
         return id;
     }
-    pending_exchange exchange{ id, std::move(wire), headRequest, steadyNow() + timeout, std::move(done), std::move(matchesRequest) };
-    if (d->waiting.empty() && !d->idle.empty()) {
-        client_connection *connection = d->idle.back();
-        d->idle.pop_back();
-        connection->start(std::move(exchange));
-    } else {
+    pending_exchange exchange{ id, std::move(wire), headRequest, steadyNow() + timeout, std::move(done), std::move(matching) };
+    if (!d->startOnIdle(exchange)) {
         d->waiting.push_back(std::move(exchange));
     }
     d->openNeeded();
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -50,6 +50,19 @@
     http_response response;
 };
 
+/** How the responses to a request are recognized. A faulty server may send a response to an earlier request of the connection once more. */
+struct response_matching {
+    /** Returns whether a response is for the request. On a reused connection, other responses are skipped. Null: every response is. */
+    std::function<bool(const http_response &)> matches;
+    /**
+     * Identifies the request in its responses; empty if nothing does. A request that got a response other than a success is not
+     * sent again on the same connection, as the responses to both would look alike.
+     */
+    std::string identity;
+    /** Send the request on a connection without earlier responses. */
+    bool newConnection = false;
+};
+
 /**
  * Pool of connections to one HTTP server. Each connection carries one request at a time.
  *
@@ -59,7 +72,6 @@
 {
 public:
     using callback = std::function<void(http_exchange_result)>;
-    using filter = std::function<bool(const http_response &)>;
 
     http_connection_pool(serial_executor executor, const network_address &address, connection_pool_settings settings);
 
@@ -77,11 +89,10 @@
      * @param wire  the request in wire format
      * @param headRequest  the response has no body, whatever its header says
      * @param timeout  time after which the exchange fails and its connection is reset
-     * @param matchesRequest  returns whether a response is for this request. On a reused connection, other responses are skipped,
-     *                        because the server may have sent a second response to an earlier request.
+     * @param matching  how to recognize the response to this request
      * @return an id for abort()
      */
-    std::uint64_t exchange(std::string wire, bool headRequest, time_span timeout, callback done, filter matchesRequest = nullptr);
+    std::uint64_t exchange(std::string wire, bool headRequest, time_span timeout, callback done, response_matching matching = {});
 
     /** Cancels an exchange and resets its connection; its callback is not called. Unknown ids are ignored. */
     void abort(std::uint64_t exchange);
--- a/tests/integration/endpoint_faults_test.py
+++ b/tests/integration/endpoint_faults_test.py
@@ -146,6 +146,28 @@
                 # Each of these connections then carried another request and a copy of its refusal, after which it must not be used.
                 self.assertEqual(len(set(used)), len(used), (with_id, moment))
 
+    def test_refusal_is_written_again_for_the_retry_of_the_same_request(self):
+        """Guards against a copy of the refusal of a request that is taken for the answer to its retry, which has the same id and runs."""
+        executed, refused = [], {}
+
+        def fault(request):
+            attempt = request.headers["Attempt-Id"]
+            if attempt not in refused:
+                refused[attempt] = request.connection
+                request.wfile.write(self.refuse(request))
+                return
+            if refused[attempt] is request.connection:
+                request.wfile.write(self.refuse(request))
+                request.wfile.flush()
+            executed.append(attempt)
+            time.sleep(0.1)
+            request.wfile.write(self.faulty.response_head(request, "Content-Length: 4") + b"done")
+
+        self.faulty.fault = fault
+        for _ in range(5):
+            outcome = self.gateways[0].call("/credit/", "POST", body=b"1")
+            self.assert_run_once_and_not_refused(outcome, executed, "retry")
+
     def test_truncated_answer(self):
         """A truncated answer must not be passed on as complete, nor answered with a status that says the request was not executed."""
         shapes = {
--- a/tests/unit/http_client/http_connection_pool_test.cpp
+++ b/tests/unit/http_client/http_connection_pool_test.cpp
@@ -40,6 +40,9 @@
         return m_connections.size();
     }
 
+    /** The response to all requests. */
+    std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
     void makeOpenConnectionsUnresponsive()
     {
         for (const auto &connection : m_connections) {
@@ -47,6 +50,11 @@
         }
     }
 
+    void stopAccepting()
+    {
+        m_acceptor.close();
+    }
+
 private:
     struct connection {
         explicit connection(tcp::socket given)
@@ -77,7 +85,6 @@
                 return;
             }
             if (!subject->unresponsive) {
-                static const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
                 boost::asio::write(subject->socket, boost::asio::buffer(answer));
             }
             serve(subject);
@@ -144,6 +151,113 @@
     cr_expect_eq(settings.budget->used(), 0U);
 }
 
+// Guards against a copy of the refusal of a request that is taken for the response to its retry, and against a retry that waits for a
+// connection although idle ones only need to be replaced.
+Test(http_connection_pool, refused_request_is_not_sent_again_on_the_same_connection)
+{
+    for (const std::uint32_t maxConnections : { 1U, 4U }) {
+        boost::asio::io_context context;
+        const serial_executor executor(context);
+        unresponsive_server server(context);
+        server.answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        connection_pool_settings settings;
+        settings.spareConnections = 0;
+        settings.maxConnections = maxConnections;
+        http_connection_pool pool(executor, server.address(), settings);
+        std::size_t answered = 0;
+        const auto send = [&](const std::string &identity) {
+            const std::size_t before = answered;
+            response_matching matching;
+            matching.identity = identity;
+            const auto done = [&](const http_exchange_result &result) {
+                answered += result.code == result_code::ok ? 1 : 0;
+            };
+            pool.exchange(request, false, 1s, done, matching);
+            context.run_for(100ms);
+            cr_assert_eq(answered, before + 1, "%s", identity.c_str());
+        };
+        send("a");
+        send("b");
+        cr_expect_eq(server.accepted(), 1U);
+        send("a");
+        cr_expect_eq(server.accepted(), 2U);
+        send("c");
+        cr_expect_eq(server.accepted(), 2U);
+        cr_expect_leq(pool.openConnections(), maxConnections);
+    }
+}
+
+// Guards against a connection that remembers the requests of its refusals without bound.
+Test(http_connection_pool, connection_with_many_refusals_is_replaced)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    unresponsive_server server(context);
+    server.answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    http_connection_pool pool(executor, server.address(), settings);
+    for (int i = 0; i < 65; ++i) {
+        response_matching matching;
+        matching.identity = "request " + std::to_string(i);
+        pool.exchange(
+            request, false, 1s, [](const http_exchange_result &) {}, matching);
+        context.run_for(5ms);
+    }
+    cr_expect_eq(server.accepted(), 2U);
+}
+
+// Guards against requests that need a new connection and get a used one, or wait until their deadline.
+Test(http_connection_pool, request_gets_the_new_connection_that_it_needs)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    unresponsive_server server(context);
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    http_connection_pool pool(executor, server.address(), settings);
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+        response_matching matching;
+        matching.newConnection = i > 0;
+        pool.exchange(
+            request,
+            false,
+            1s,
+            [&](const http_exchange_result &result) {
+                answered += result.code == result_code::ok ? 1 : 0;
+            },
+            matching);
+        context.run_for(100ms);
+        cr_expect_eq(server.accepted(), i + 1);
+        cr_expect_eq(answered, i + 1);
+    }
+}
+
+// Guards against attempts to connect without end, when a server that can't be reached any more leaves an idle connection open.
+Test(http_connection_pool, unreachable_server_fails_a_request_that_needs_a_new_connection)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    auto server = std::make_unique<unresponsive_server>(context);
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    http_connection_pool pool(executor, server->address(), settings);
+    std::vector<result_code> results;
+    const auto done = [&](const http_exchange_result &result) {
+        results.push_back(result.code);
+    };
+    pool.exchange(request, false, 1s, done);
+    context.run_for(50ms);
+    server->stopAccepting();
+    response_matching matching;
+    matching.newConnection = true;
+    pool.exchange(request, false, 10s, done, matching);
+    context.run_for(100ms);
+    cr_assert_eq(results.size(), 2U);
+    cr_expect_eq(results[1], result_code::peer_unreachable);
+}
+
 // Guards against a request that reaches another process after the connection to the first one was lost, and against requests that are never
 // answered because the only connection was lost while they waited for it.
 Test(http_connection_pool, single_connection_is_not_opened_again)
