Release keys on a connection without earlier answers

Two endpoints held the same keys, and the first was still at work on them, when an endpoint that was asked to release its keys first wrote an earlier answer once more: the answer to a grant, to a request, or a refusal. Answers to orders name no order, so that the copy was taken for the answer to the release, and the keys were granted to another endpoint.

A release is now sent on a new connection, which has no earlier answers. On other connections, an answer that names a request is not the answer to an order, and a connection on which data has arrived after its last answer is closed instead of used.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -126,11 +126,15 @@
         });
     }
 
-    void sendOrder(order_id order, const endpoint_incarnation &endpoint, std::string wire, time_span timeout, order_callback done)
+    void sendRelease(const send_release &order, order_callback done)
     {
-        poolOf(endpoint.address).exchange(std::move(wire), false, timeout, [order, done = std::move(done)](const http_exchange_result &result) {
-            done(order, platform::decodeOrderReply(result));
-        });
+        // Responses to orders name no order. A copy of an earlier response must not end the wait for the requests that still run.
+        response_matching matching;
+        matching.newConnection = true;
+        const auto report = [id = order.order, done = std::move(done)](const http_exchange_result &result) {
+            done(id, platform::decodeOrderReply(result));
+        };
+        poolOf(order.endpoint.address).exchange(platform::encodeRelease(order), false, releaseTimeout, report, std::move(matching));
     }
 };
 
@@ -182,15 +186,20 @@
 
 void endpoint_connections::send(const send_release &order, order_callback done)
 {
-    d->sendOrder(order.order, order.endpoint, platform::encodeRelease(order), releaseTimeout, std::move(done));
+    d->sendRelease(order, std::move(done));
 }
 
 void endpoint_connections::send(const probe_endpoint &order, const std::string &healthPath, order_callback done)
 {
     std::string wire = platform::encodeHealthCheck(order.endpoint, healthPath);
-    d->poolOf(order.endpoint.address).exchange(std::move(wire), false, probeTimeout, [order, done = std::move(done)](const http_exchange_result &result) {
+    response_matching matching;
+    matching.matches = [](const http_response &response) {
+        return !platform::namesRequest(response);
+    };
+    const auto report = [order, done = std::move(done)](const http_exchange_result &result) {
         done(order.order, platform::decodeHealthReply(result, order.endpoint.endpoint));
-    });
+    };
+    d->poolOf(order.endpoint.address).exchange(std::move(wire), false, probeTimeout, report, std::move(matching));
 }
 
 void endpoint_connections::closeGrantConnections()
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -209,6 +209,12 @@
     return !exchange.matching.newConnection && std::find(m_failedIdentities.begin(), last, exchange.matching.identity) == last;
 }
 
+bool client_connection::hasUnreadData() const
+{
+    boost::system::error_code ignored;
+    return m_finishedExchanges > 0 && m_socket.available(ignored) > 0;
+}
+
 void client_connection::connectionEnded(const boost::system::error_code &error)
 {
     if (m_busy && error == boost::asio::error::eof) {
--- a/libs/http_client/detail/client_connection.h
+++ b/libs/http_client/detail/client_connection.h
@@ -86,6 +86,9 @@
     /** Returns whether a response to @p exchange can be told from responses to earlier exchanges of this connection. */
     bool suits(const pending_exchange &exchange) const;
 
+    /** Returns whether data has arrived after the last response. Precondition: connected and idle. */
+    bool hasUnreadData() const;
+
     /** End of the connect timeout while connecting, of the idle timeout while idle. Maintained by the pool. */
     monotonic_time deadline;
 
--- a/libs/http_client/http_connection_pool.cpp
+++ b/libs/http_client/http_connection_pool.cpp
@@ -113,19 +113,33 @@
         }
     }
 
-    /** Starts @p exchange on the most recently used idle connection that suits it; returns false if there is none. */
-    bool startOnIdle(pending_exchange &exchange)
+    /** Returns the most recently used idle connection that suits @p exchange, no longer idle; nullptr if there is none. */
+    client_connection *takeIdle(const pending_exchange &exchange)
     {
         const auto found = std::find_if(idle.rbegin(), idle.rend(), [&](const client_connection *connection) {
             return connection->suits(exchange);
         });
         if (found == idle.rend()) {
-            return false;
+            return nullptr;
         }
         client_connection *connection = *found;
         std::erase(idle, connection);
-        connection->start(std::move(exchange));
-        return true;
+        return connection;
+    }
+
+    /** Starts @p exchange on an idle connection that suits it; returns false if there is none. */
+    bool startOnIdle(pending_exchange &exchange)
+    {
+        while (client_connection *connection = takeIdle(exchange)) {
+            if (!connection->hasUnreadData()) {
+                connection->start(std::move(exchange));
+                return true;
+            }
+            // Data that arrived before the request is not the response to it.
+            connection->close();
+            remove(*connection);
+        }
+        return false;
     }
 
     /** Starts the requests that an idle connection suits, so that none that still waits can use one. */
--- a/tests/integration/endpoint_faults_test.py
+++ b/tests/integration/endpoint_faults_test.py
@@ -1,4 +1,5 @@
 """Faults of endpoints and instances that are known from similar systems, injected on real sockets. Each test is named after its fault."""
+import contextlib
 import http.client
 import os
 import signal
@@ -44,6 +45,36 @@
         return ("HTTP/1.1 200 OK\r\n" + "\r\n".join([*identity, *fields]) + "\r\n\r\n").encode()
 
 
+class CopyingEndpoint(Endpoint):
+    """An endpoint that holds keys and, on connections that it has answered on before, writes `copy` before it handles an order.
+
+    `copied` is the path of these orders; each of them takes `order_time` seconds.
+    """
+
+    copy, copied, order_time = None, None, 0
+
+    def __init__(self, *arguments, **options):
+        self.answered_on = set()
+        super().__init__(*arguments, **options)
+
+    def handle(self, request, method):
+        if request.path == self.copied:
+            if request.connection in self.answered_on:
+                request.wfile.write(self.copy)
+                request.wfile.flush()
+            time.sleep(self.order_time)
+        self.answered_on.add(request.connection)
+        super().handle(request, method)
+
+
+def keys_held_twice(endpoints):
+    """Returns a key that two endpoints hold at this moment, or None."""
+    with contextlib.ExitStack() as locked:
+        for endpoint in endpoints:
+            locked.enter_context(endpoint.lock)
+        return next((key for key in range(0, 65536, 64) if sum(endpoint.holds(key) for endpoint in endpoints) > 1), None)
+
+
 def resident_memory_mb(process):
     with open(f"/proc/{process.child.pid}/status", encoding="utf-8") as status:
         return int(next(line for line in status if line.startswith("VmRSS")).split()[1]) / 1024
@@ -168,6 +199,54 @@
             outcome = self.gateways[0].call("/credit/", "POST", body=b"1")
             self.assert_run_once_and_not_refused(outcome, executed, "retry")
 
+    # Earlier answers of which an endpoint writes a copy: to a grant, and to requests, with and without the id of the request.
+    COPIES = {
+        "grant": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "superseded grant": b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+        "request": b"HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n",
+        "refused request": b"HTTP/1.1 429 Too Many Requests\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "refusal without id": b"HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    }
+
+    def assert_no_key_held_twice_during_handover(self, copying):
+        """Lets the endpoint hand its keys over, and checks that no other endpoint holds them before it has released them."""
+        copying.register("draining")
+        end = time.monotonic() + 6
+        while copying.held_count() > 0:
+            self.assertIsNone(keys_held_twice(self.endpoints), "held by two endpoints")
+            self.assertLess(time.monotonic(), end, "the keys do not move")
+        copying.unregister()
+        wait_until("owners of all keys", self.all_served, 5)
+
+    def copying_endpoint(self, name):
+        """Adds an endpoint and waits until it holds keys and has answered requests for them."""
+        copying = CopyingEndpoint(self.store, name, "desk", free_address())
+        self.endpoints.append(copying)
+        wait_until("keys of the endpoint", lambda: copying.held_count() > 0 and self.all_served(), 10)
+        held = next(key for key in range(65536) if copying.holds(key))
+        wait_until("an answer", lambda: self.gateways[0].call("/look/", key=held)[1]["Response-Signature"] == "proof-" + name, 5)
+        return copying
+
+    def test_earlier_answer_is_written_again_for_a_release(self):
+        """Guards against keys that are granted to another endpoint while their holder is at work on them, as a copy was taken for its release."""
+        for name, copy in self.COPIES.items():
+            with self.subTest(name):
+                copying = self.copying_endpoint("copying-" + name.replace(" ", "-"))
+                copying.copy, copying.copied, copying.order_time = copy, "/api/release", 0.7
+                self.assert_no_key_held_twice_during_handover(copying)
+
+    def test_earlier_answer_is_written_again_for_a_grant(self):
+        """Guards against keys with two holders, or without one, as a copy was taken for the answer to a grant."""
+        for name, copy in self.COPIES.items():
+            with self.subTest(name):
+                copying = self.copying_endpoint("copying-" + name.replace(" ", "-"))
+                copying.copy, copying.copied, copying.order_time = copy, "/api/grant", 0.05
+                end = time.monotonic() + 2
+                while time.monotonic() < end:
+                    self.assertIsNone(keys_held_twice(self.endpoints), "held by two endpoints")
+                wait_until("owners of all keys", self.all_served, 5)
+                self.assert_no_key_held_twice_during_handover(copying)
+
     def test_truncated_answer(self):
         """A truncated answer must not be passed on as complete, nor answered with a status that says the request was not executed."""
         shapes = {
--- a/tests/unit/http_client/http_connection_pool_test.cpp
+++ b/tests/unit/http_client/http_connection_pool_test.cpp
@@ -50,6 +50,14 @@
         }
     }
 
+    /** Sends the response once more on all connections, at once. */
+    void repeatAnswer()
+    {
+        for (const auto &connection : m_connections) {
+            boost::asio::write(connection->socket, boost::asio::buffer(answer));
+        }
+    }
+
     void stopAccepting()
     {
         m_acceptor.close();
@@ -258,6 +266,31 @@
     cr_expect_eq(results[1], result_code::peer_unreachable);
 }
 
+// Guards against a copy of a response that arrives just before the next request is sent and is taken for its response.
+Test(http_connection_pool, connection_with_unread_data_is_not_used)
+{
+    boost::asio::io_context context;
+    const serial_executor executor(context);
+    unresponsive_server server(context);
+    connection_pool_settings settings;
+    settings.spareConnections = 0;
+    http_connection_pool pool(executor, server.address(), settings);
+    std::vector<std::string> bodies;
+    const auto done = [&](const http_exchange_result &result) {
+        bodies.push_back(result.response.body);
+    };
+    pool.exchange(request, false, 1s, done);
+    context.run_for(50ms);
+    server.repeatAnswer();
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew";
+    pool.exchange(request, false, 1s, done);
+    context.run_for(50ms);
+    cr_assert_eq(bodies.size(), 2U);
+    cr_expect_eq(bodies[1], std::string("new"));
+    cr_expect_eq(server.accepted(), 2U);
+    cr_expect_eq(pool.openConnections(), 1U);
+}
+
 // Guards against a request that reaches another process after the connection to the first one was lost, and against requests that are never
 // answered because the only connection was lost while they waited for it.
 Test(http_connection_pool, single_connection_is_not_opened_again)
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -82,6 +82,17 @@
     }
 }
 
+// Guards against an answer to a request that is taken for the answer to an order.
+Test(request_codec, answers_to_requests_differ_from_answers_to_orders)
+{
+    for (const char *field : { "Attempt-Id", "Response-Signature" }) {
+        cr_expect(platform::namesRequest(answered(200, { { field, "1" } }).response), "%s", field);
+    }
+    cr_expect_not(platform::namesRequest(answered(200, { { "Handover", "h" } }).response));
+    cr_expect_not(platform::namesRequest(answered(409, {}).response));
+    cr_expect_not(platform::namesRequest(answered(421, { { "Not-Executed", "1" } }).response));
+}
+
 // Guards against reporting "not run" for requests that may have run.
 Test(request_codec, reports_not_run_only_if_the_endpoint_says_so)
 {
