Count a grant as held whatever its answer says

Two endpoints held the same keys after an endpoint had applied grants and written a copy of an earlier answer, 409 or 429, in place of its own: the assigner took the keys for free once the grants before had expired, and gave them to another endpoint. It also forgot the holder if keys whose grant was rejected moved on before the next grant to the same endpoint was sent.

The expiry of an endpoint's grants is now extended by each grant that was sent, also by a rejected one, and a holder that becomes the owner again, or stays the owner with a new token, is released if the keys move on before its next grant.

The new unit test failed with either half of the change alone (two holders of a key) and passes with both.

--- a/libs/key_ownership/key_assigner_orders.cpp
+++ b/libs/key_ownership/key_assigner_orders.cpp
@@ -22,6 +22,15 @@
 constexpr std::uint64_t renewalSpreadSteps = 8;
 constexpr time_span renewalSpreadStep = std::chrono::milliseconds(20);
 
+/**
+ * Returns whether the endpoint may have applied a grant. A rejection does not show that it did not: it may be a copy of the response to an
+ * earlier order.
+ */
+bool mayHaveBeenApplied(order_outcome outcome)
+{
+    return outcome != order_outcome::unsent && outcome != order_outcome::connection_lost && outcome != order_outcome::misdirected;
+}
+
 } // namespace
 
 void key_assigner::impl::note(std::string event, std::vector<std::pair<std::string, std::string>> fields)
@@ -150,7 +159,7 @@
 {
     const endpoint_incarnation receiver = currentIncarnation(order.incarnation);
     --grantsInFlight[receiver];
-    if (reply.outcome == order_outcome::accepted || reply.outcome == order_outcome::unanswered) {
+    if (mayHaveBeenApplied(reply.outcome)) {
         expiries.extend(receiver, grantExpiry(now, order.length));
     }
     assignment *subject = findBySerial(order.serial);
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -76,16 +76,17 @@
             subject.unservedFor = expiries.remaining(subject.owner, now);
         }
     }
-    std::erase_if(subject.otherHolders, [&](const other_holder &holder) {
+    const auto held = std::erase_if(subject.otherHolders, [&](const other_holder &holder) {
         return holder.incarnation == owner;
     });
+    // The new owner may still have an earlier grant. It must be released if the keys move on before the next grant is sent.
+    subject.grantSent = held > 0 || (subject.grantSent && subject.owner == owner);
     subject.owner = owner;
     subject.releaseToken = fencing_token(nextToken++);
     subject.token = reserveTokens();
     subject.tokensSent = 0;
     subject.grantedOn.reset();
     subject.settled = false;
-    subject.grantSent = false;
     subject.renewedWithoutGap = subject.renewedWithoutGap && !subject.renewUntilWritten.empty();
     subject.superseded = false;
     subject.grantOrder.reset();
--- a/tests/unit/key_ownership/key_assigner_test.cpp
+++ b/tests/unit/key_ownership/key_assigner_test.cpp
@@ -59,6 +59,21 @@
     cr_expect(simulation.violations().empty());
 }
 
+// Guards against keys with two holders: a grant was applied, but an endpoint wrote a copy of an earlier answer, which says that it was not.
+Test(key_assigner, grants_count_whatever_their_answer_says)
+{
+    for (const order_outcome copied : { order_outcome::superseded, order_outcome::refused, order_outcome::accepted }) {
+        ownership_simulation simulation = faultFreeSimulation();
+        simulation.run(std::chrono::seconds(3));
+        simulation.setCopiedAnswer(2, copied);
+        simulation.run(std::chrono::seconds(5));
+        simulation.setDraining(2);
+        simulation.run(std::chrono::seconds(5));
+        cr_expect_eq(simulation.servedKeys(), ownership_simulation::watchedKeys(), "outcome %d", static_cast<int>(copied));
+        cr_expect(simulation.violations().empty(), "outcome %d", static_cast<int>(copied));
+    }
+}
+
 // Guards against keys of a crashed endpoint that stay unserved for longer than the expiry of its grant and their reassignment take.
 Test(key_assigner, keys_of_a_crashed_endpoint_are_served_again)
 {
--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -208,7 +208,8 @@
         if (m_options.endpointsCheckId && !(target.incarnation.endpoint == grant.endpoint.endpoint)) {
             return order_outcome::misdirected;
         }
-        return apply(target, grant.keys, grant.token.value(), grant.length, arrival);
+        const order_outcome outcome = apply(target, grant.keys, grant.token.value(), grant.length, arrival);
+        return target.copiedAnswer.value_or(outcome);
     });
     if (m_options.connectionLoss > 0 && chance(m_options.connectionLoss)) {
         subject.connections.erase(grant.endpoint);
@@ -425,6 +426,11 @@
     publishDirectory();
 }
 
+void ownership_simulation::setCopiedAnswer(std::size_t endpoint, order_outcome answer)
+{
+    m_processes[endpoint].copiedAnswer = answer;
+}
+
 void ownership_simulation::setStoreUnavailable(bool unavailable)
 {
     m_storeUnavailable = unavailable;
--- a/tests/unit/key_ownership/ownership_simulation.h
+++ b/tests/unit/key_ownership/ownership_simulation.h
@@ -75,6 +75,8 @@
     void restart(std::size_t endpoint, time_span registerAfter, bool keepId);
     void setUnreachable(std::size_t endpoint, bool unreachable);
     void setDraining(std::size_t endpoint);
+    /** The endpoint applies grants, but writes a copy of an earlier answer instead of its own. */
+    void setCopiedAnswer(std::size_t endpoint, order_outcome answer);
     /** Replaces the assigner. The old one continues for some time without knowing. */
     void replaceAssigner();
     void setStoreUnavailable(bool unavailable);
@@ -90,6 +92,7 @@
         bool up = true;
         bool unreachable = false;
         bool draining = false;
+        std::optional<order_outcome> copiedAnswer;
         double clockRate = 1;
         std::vector<held_key> keys;
         monotonic_time stateSince{};
