Refuse a success that ends with its head as truncated

Callers got a 200 with an empty body that was framed as complete when an endpoint wrote the head of an answer without a length and closed the connection before the body. The end of the connection was taken for the end of the body.

Such a success without a byte of its body now counts as truncated. All other ends within a head were detected before: after each line, with a length, chunks or neither, by a close or a reset, for POST and HEAD and for pipelined requests. A close later in a body without a length cannot be told from its end, and is still taken for it.

--- a/libs/http_message/http_parser.cpp
+++ b/libs/http_message/http_parser.cpp
@@ -293,7 +293,14 @@
         d->fail(ec);
         return;
     }
-    d->parser->message.keepAlive = false;
+    http_response &message = d->parser->message;
+    if (message.status < 300 && message.body.empty()) {
+        // Servers frame an empty body with a length, so that this one stopped before the body.
+        d->state = http_parse_state::failed;
+        d->error = result_code::answer_truncated;
+        return;
+    }
+    message.keepAlive = false;
     d->state = http_parse_state::complete;
 }
 
--- a/libs/http_message/http_parser.h
+++ b/libs/http_message/http_parser.h
@@ -88,7 +88,10 @@
     /** malformed_message, answer_truncated, header_too_large or body_too_large if state() is failed. */
     result_code error() const noexcept;
 
-    /** Call when the peer closes the connection. Completes a response whose body is delimited by the close. */
+    /**
+     * Call when the peer closes the connection. Completes a response whose body is delimited by the close, unless it is a success and
+     * no byte of its body has arrived.
+     */
     void finishAtEof();
 
     /** True once a byte of the response has been received. */
--- a/tests/integration/endpoint_faults_test.py
+++ b/tests/integration/endpoint_faults_test.py
@@ -75,6 +75,13 @@
         return next((key for key in range(0, 65536, 64) if sum(endpoint.holds(key) for endpoint in endpoints) > 1), None)
 
 
+def read_answer(stream):
+    """Reads an answer with a length. Returns (status, body)."""
+    status = int(stream.readline().split()[1])
+    fields = http.client.parse_headers(stream)
+    return status, stream.read(int(fields["Content-Length"]))
+
+
 def resident_memory_mb(process):
     with open(f"/proc/{process.child.pid}/status", encoding="utf-8") as status:
         return int(next(line for line in status if line.startswith("VmRSS")).split()[1]) / 1024
@@ -266,6 +273,85 @@
             self.assertNotEqual(status, 200, (name, text))
             self.assertNotIn(status, (408, 421, 429, 503), name)
 
+    def end_connection(self, request, reset):
+        """Closes the connection of the request with a FIN or a reset."""
+        request.close_connection = True
+        if reset:
+            # A reset discards what the peer has not read yet.
+            time.sleep(0.02)
+            request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+            request.connection.close()
+        else:
+            request.connection.shutdown(socket.SHUT_RDWR)
+
+    def cut_heads(self, request):
+        """Yields (name, bytes) of the ends that the head of an answer can have, for each way to frame its body; the body never arrives."""
+        for framing in ("Content-Length: 4", "Transfer-Encoding: chunked", "Connection: close"):
+            head = self.faulty.response_head(request, framing)
+            lines = head.split(b"\r\n")
+            for count in range(1, len(lines) - 1):
+                yield f"{framing}, {count} lines", b"\r\n".join(lines[:count]) + b"\r\n"
+            yield f"{framing}, half of the empty line", head[:-1]
+            yield f"{framing}, no body", head
+
+    def test_answer_ends_within_its_head(self):
+        """Guards against an answer with an empty body that is framed as complete, or that says 'not run', after an endpoint stopped in its head."""
+        current = {}
+
+        def broken(request):
+            cuts = list(self.cut_heads(request))
+            current["name"], cut = cuts[current["index"]]
+            current["last"] = len(cuts) - 1
+            request.wfile.write(cut)
+            request.wfile.flush()
+            self.end_connection(request, current["reset"])
+
+        for method, reset in ((method, reset) for method in ("POST", "HEAD") for reset in (False, True)):
+            current.update(index=0, reset=reset, last=1)
+            while current["index"] <= current["last"]:
+                self.faulty.fault = broken
+                runs = len(self.faulty.runs)
+                status, _, text, _ = self.gateways[0].call("/credit/", method, body=b"1" if method == "POST" else None)
+                what = (current["name"], method, reset, text)
+                self.assertEqual(len(self.faulty.runs), runs + 1, what)
+                self.assertNotIn(status, (408, 421, 429, 503), what)
+                # The answer to HEAD is complete with its head, however the body would be framed.
+                if method != "HEAD" or not current["name"].endswith("no body"):
+                    self.assertNotEqual(status, 200, what)
+                # A good answer ends the delay that follows several failures.
+                self.faulty.fault = None
+                if status == 200:
+                    time.sleep(0.1)  # The endpoint closes the connection after an answer to HEAD that is complete.
+                self.assertEqual(self.gateways[0].call("/credit/", "POST", body=b"1")[0], 200)
+                current["index"] += 1
+
+    def test_answer_of_a_pipelined_request_ends_within_its_head(self):
+        """Guards against an answer that is given to another pipelined request, or skipped, after the endpoint stopped in the head of one."""
+        broken_targets = {"/credit/1", "/credit/3"}
+
+        def fault(request):
+            answer = self.faulty.response_head(request, "Content-Length: 9") + request.path.encode()
+            if request.path in broken_targets:
+                request.wfile.write(answer[:70])
+                request.wfile.flush()
+                self.end_connection(request, False)
+                return
+            request.wfile.write(answer)
+
+        self.faulty.fault = fault
+        host, port = self.gateways[0].caller_address.split(":")
+        with socket.create_connection((host, int(port)), timeout=5) as connection:
+            for i in range(5):
+                connection.sendall(f"GET /credit/{i} HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: pipelined-{i}\r\n\r\n".encode())
+            stream = connection.makefile("rb")
+            answers = [read_answer(stream) for _ in range(5)]
+        for i, (status, body) in enumerate(answers):
+            if f"/credit/{i}" in broken_targets:
+                self.assertIn(status, (502, 504), i)
+                self.assertIn(f"pipelined-{i}".encode(), body)
+            else:
+                self.assertEqual((status, body), (200, f"/credit/{i}".encode()))
+
     def test_reset_ends_an_answer_without_length(self):
         """An answer delimited by the end of its connection is complete only if the connection was closed, not reset."""
 
--- a/tests/integration/platform_standin.py
+++ b/tests/integration/platform_standin.py
@@ -162,7 +162,7 @@
         self.send_header("Content-Length", str(len(content)))
         try:
             self.end_headers()
-            self.wfile.write(content)
+            self.wfile.write(content if self.command != "HEAD" else b"")
         except (BrokenPipeError, ConnectionResetError):
             # The client closed the connection before the reply, which some tests cause on purpose.
             self.close_connection = True
@@ -170,6 +170,9 @@
     def do_GET(self):
         self.server.listener.handle(self, "GET")
 
+    def do_HEAD(self):
+        self.server.listener.handle(self, "HEAD")
+
     def do_POST(self):
         self.server.listener.handle(self, "POST")
 
--- a/tests/unit/http_message/http_parser_test.cpp
+++ b/tests/unit/http_message/http_parser_test.cpp
@@ -48,10 +48,10 @@
     return parser.error();
 }
 
-http_response_parser parseResponse(const std::string &text)
+http_response_parser parseResponse(const std::string &text, bool headRequest = false, const http_limits &limits = {})
 {
-    http_response_parser parser(http_limits{});
-    parser.reset(false);
+    http_response_parser parser(limits);
+    parser.reset(headRequest);
     std::size_t position = 0;
     while (position < text.size() && parser.state() == http_parse_state::need_more) {
         const std::size_t used = parser.feed(std::string_view(text).substr(position));
@@ -153,6 +153,30 @@
     cr_expect_eq(parseResponse("HTTP/1.1 200 OK\r\n\r\nhello").error(), result_code::answer_truncated);
 }
 
+// Guards against a response that ends within its head and is taken for one whose body is delimited by the end of the connection.
+Test(http_response_parser, never_completes_a_truncated_head)
+{
+    http_limits limits;
+    limits.allowCloseDelimitedBody = true;
+    for (const char *framing : { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", "" }) {
+        const std::string head = std::string("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n") + framing + "\r\n";
+        for (std::size_t length = 0; length <= head.size(); ++length) {
+            for (const bool headRequest : { false, true }) {
+                http_response_parser parser = parseResponse(head.substr(0, length), headRequest, limits);
+                parser.finishAtEof();
+                const bool complete = headRequest && length == head.size();
+                cr_expect_eq(parser.state() == http_parse_state::complete, complete, "%s%zu bytes", framing, length);
+            }
+        }
+    }
+    http_response_parser parser = parseResponse("HTTP/1.1 200 OK\r\n\r\nhello", false, limits);
+    parser.finishAtEof();
+    cr_expect_eq(parser.state(), http_parse_state::complete);
+    parser = parseResponse("HTTP/1.1 503 Service Unavailable\r\n\r\n", false, limits);
+    parser.finishAtEof();
+    cr_expect_eq(parser.state(), http_parse_state::complete);
+}
+
 // Guards against callers that set Sycamoretray fields, also spelled with underscores, which some servers treat as hyphens.
 Test(http_message, removes_own_and_connection_fields)
 {
