Answer all pipelined requests that were read before a connection closes

In a planned stop, callers of pipelined requests lost answers: requests that were passed on to an endpoint, and run there, ended with a closed connection. The first answer given after the connections begin to close, 0.9 s after the signal, closed its connection although answers to later requests of the connection were due.

The answer to the last request that was read now closes the connection, and no further request of it is read once it is to close. The head of an answer is written when the answer is sent, as only then it is known which is the last.

--- a/libs/http_entry/detail/http_session.cpp
+++ b/libs/http_entry/detail/http_session.cpp
@@ -19,6 +19,7 @@
 
 // Unparsed data of pipelined requests beyond which no more data is read.
 constexpr std::size_t maxUnparsedBytes = 64ULL * 1024;
+constexpr std::size_t typicalHeadBytes = 512;
 // Time that a caller has to read the last answer before its connection is closed.
 constexpr time_span lingerTimeout = std::chrono::seconds(1);
 
@@ -84,7 +85,7 @@
 void http_session::parseReceived()
 {
     std::size_t position = 0;
-    while (position < m_unparsed.size() && !m_noMoreRequests && m_pending.size() < m_environment->settings.pipelinedRequests) {
+    while (position < m_unparsed.size() && readsNextRequest()) {
         if (m_requestDeadline == noDeadline) {
             m_requestDeadline = steadyNow() + m_environment->settings.transferTimeout;
         }
@@ -108,6 +109,18 @@
     }
 }
 
+bool http_session::isClosing() const noexcept
+{
+    return m_closeRequested || m_environment->closeAfterAnswer.load(std::memory_order_relaxed);
+}
+
+bool http_session::readsNextRequest() const noexcept
+{
+    // A request behind the answer that closes the connection must not be passed on, as it would get no answer.
+    const bool answersAreLast = isClosing() && !m_pending.empty();
+    return !m_noMoreRequests && !answersAreLast && m_pending.size() < m_environment->settings.pipelinedRequests;
+}
+
 void http_session::requestComplete()
 {
     http_request request = m_parser.take();
@@ -115,9 +128,11 @@
     m_continueSent = false;
     const bool keepAlive = request.keepAlive;
     const std::uint64_t sequence = m_firstSequence + m_pending.size();
-    m_pending.emplace_back();
+    pending_answer &pending = m_pending.emplace_back();
+    pending.headRequest = request.method == "HEAD";
+    pending.keepAlive = keepAlive;
     m_noMoreRequests = !keepAlive;
-    auto handle = std::make_shared<answer_handle>(shared_from_this(), sequence, request.method == "HEAD", keepAlive);
+    auto handle = std::make_shared<answer_handle>(shared_from_this(), sequence);
     m_environment->handler(std::move(request), std::move(handle));
 }
 
@@ -126,10 +141,8 @@
     m_noMoreRequests = true;
     m_requestDeadline = noDeadline;
     const std::uint64_t sequence = m_firstSequence + m_pending.size();
-    m_pending.emplace_back();
-    std::string wire;
-    appendResponse(wire, errorAnswer(code, request_id()), {}, false, false);
-    deliverOnStrand(sequence, std::move(wire), false);
+    m_pending.emplace_back().keepAlive = false;
+    deliverOnStrand(sequence, errorAnswer(code, request_id()), true);
 }
 
 void http_session::sendContinue()
@@ -144,14 +157,14 @@
     writeMore();
 }
 
-void http_session::deliver(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive)
+void http_session::deliver(std::uint64_t sequence, std::optional<http_response> response, bool closeConnection)
 {
-    boost::asio::dispatch(m_strand, [self = shared_from_this(), sequence, wire = std::move(wire), keepAlive]() mutable {
-        self->deliverOnStrand(sequence, std::move(wire), keepAlive);
+    boost::asio::dispatch(m_strand, [self = shared_from_this(), sequence, response = std::move(response), closeConnection]() mutable {
+        self->deliverOnStrand(sequence, std::move(response), closeConnection);
     });
 }
 
-void http_session::deliverOnStrand(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive)
+void http_session::deliverOnStrand(std::uint64_t sequence, std::optional<http_response> response, bool closeConnection)
 {
     if (isClosed() || sequence < m_firstSequence || sequence - m_firstSequence >= m_pending.size()) {
         return;
@@ -160,8 +173,8 @@
     if (pending.ready) {
         return;
     }
-    pending.wire = std::move(wire);
-    pending.keepAlive = keepAlive;
+    m_closeRequested = m_closeRequested || closeConnection;
+    pending.response = std::move(response);
     pending.ready = true;
     pending.disconnectHandler = nullptr;
     queueReadyAnswers();
@@ -170,17 +183,14 @@
 void http_session::queueReadyAnswers()
 {
     while (!m_pending.empty() && m_pending.front().ready && !m_closeAfterWrite) {
-        pending_answer &front = m_pending.front();
-        if (!front.wire) {
+        const pending_answer &front = m_pending.front();
+        if (!front.response) {
             closeOnStrand();
             return;
         }
-        if (m_output.empty()) {
-            m_output = std::move(*front.wire);
-        } else {
-            m_output += *front.wire;
-        }
-        m_closeAfterWrite = !front.keepAlive;
+        m_closeAfterWrite = !front.keepAlive || (isClosing() && m_pending.size() == 1);
+        m_output.reserve(m_output.size() + typicalHeadBytes + front.response->body.size());
+        appendResponse(m_output, *front.response, {}, front.headRequest, !m_closeAfterWrite);
         m_pending.pop_front();
         ++m_firstSequence;
     }
--- a/libs/http_entry/detail/http_session.h
+++ b/libs/http_entry/detail/http_session.h
@@ -44,8 +44,12 @@
 
     void start();
 
-    /** Accepts the answer to the request @p sequence. Without a value, the connection is closed instead of sending an answer. */
-    void deliver(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive);
+    /**
+     * Accepts the answer to the request @p sequence. Without a value, the connection is closed instead of sending an answer.
+     *
+     * @param closeConnection  close the connection after the answers to the requests already read
+     */
+    void deliver(std::uint64_t sequence, std::optional<http_response> response, bool closeConnection);
 
     /** Closes the connection if a transfer or idle timeout has expired at @p now. */
     void closeIfOverdue(monotonic_time now);
@@ -63,16 +67,12 @@
         return m_closed.load(std::memory_order_acquire);
     }
 
-    bool closesAfterAnswer() const noexcept
-    {
-        return m_environment->closeAfterAnswer.load(std::memory_order_relaxed);
-    }
-
 private:
     struct pending_answer {
-        std::optional<std::string> wire;
+        std::optional<http_response> response;
         std::function<void()> disconnectHandler;
         bool ready = false;
+        bool headRequest = false;
         bool keepAlive = true;
     };
 
@@ -82,8 +82,12 @@
     void requestComplete();
     void refuse(result_code code);
     void sendContinue();
-    void deliverOnStrand(std::uint64_t sequence, std::optional<std::string> wire, bool keepAlive);
+    void deliverOnStrand(std::uint64_t sequence, std::optional<http_response> response, bool closeConnection);
     void queueReadyAnswers();
+    /** Returns whether the connection closes after the answer to the last request that was read. */
+    bool isClosing() const noexcept;
+    /** Returns whether the next request may be read. */
+    bool readsNextRequest() const noexcept;
     void writeMore();
     void written(bool success);
     void linger();
@@ -107,6 +111,7 @@
     bool m_readActive = false;
     bool m_noMoreRequests = false;
     bool m_closeAfterWrite = false;
+    bool m_closeRequested = false;
     bool m_continueSent = false;
     std::atomic<bool> m_closed{ false };
     /** Steady time in microseconds at which the connection is closed; written on the strand, read by closeIfOverdue(). */
--- a/libs/http_entry/http_server.cpp
+++ b/libs/http_entry/http_server.cpp
@@ -3,7 +3,6 @@
 #include "executor/steady_time.h"
 #include "http_client/detail/endpoint_address.h"
 #include "http_entry/detail/http_session.h"
-#include "http_message/http_writer.h"
 #include "observability/event_log.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -28,31 +27,24 @@
 
 } // namespace
 
-answer_handle::answer_handle(std::shared_ptr<http_session> session, std::uint64_t sequence, bool headRequest, bool keepAlive)
+answer_handle::answer_handle(std::shared_ptr<http_session> session, std::uint64_t sequence)
     : m_session(std::move(session))
     , m_sequence(sequence)
-    , m_headRequest(headRequest)
-    , m_keepAlive(keepAlive)
 {
 }
 
 answer_handle::~answer_handle()
 {
     if (!m_answered.exchange(true)) {
-        m_session->deliver(m_sequence, std::nullopt, false);
+        m_session->deliver(m_sequence, std::nullopt, true);
     }
 }
 
-void answer_handle::answer(http_response response)
+void answer_handle::answer(http_response response, bool closeConnection)
 {
-    if (m_answered.exchange(true)) {
-        return;
+    if (!m_answered.exchange(true)) {
+        m_session->deliver(m_sequence, std::move(response), closeConnection);
     }
-    const bool keepAlive = m_keepAlive && !m_session->closesAfterAnswer();
-    std::string wire;
-    wire.reserve(512 + response.body.size());
-    appendResponse(wire, response, {}, m_headRequest, keepAlive);
-    m_session->deliver(m_sequence, std::move(wire), keepAlive);
 }
 
 bool answer_handle::callerDisconnected() const noexcept
--- a/libs/http_entry/http_server.h
+++ b/libs/http_entry/http_server.h
@@ -47,12 +47,13 @@
 class answer_handle
 {
 public:
-    answer_handle(std::shared_ptr<detail::http_session> session, std::uint64_t sequence, bool headRequest, bool keepAlive);
+    answer_handle(std::shared_ptr<detail::http_session> session, std::uint64_t sequence);
     ~answer_handle();
     answer_handle(const answer_handle &) = delete;
     answer_handle &operator=(const answer_handle &) = delete;
 
-    void answer(http_response response);
+    /** @param closeConnection  read no more requests from the connection, and close it when those already read have been answered */
+    void answer(http_response response, bool closeConnection = false);
 
     /** True once the connection to the caller is closed, so that an answer can no longer be delivered. */
     bool callerDisconnected() const noexcept;
@@ -63,8 +64,6 @@
 private:
     std::shared_ptr<detail::http_session> m_session;
     std::uint64_t m_sequence = 0;
-    bool m_headRequest = false;
-    bool m_keepAlive = true;
     std::atomic<bool> m_answered{ false };
 };
 
@@ -93,7 +92,10 @@
     /** Returns the port that start() bound; useful if the settings specify port 0. */
     std::uint16_t port() const noexcept;
 
-    /** Closes each connection after its next answer, so that callers connect to another instance. */
+    /**
+     * Closes each connection after its next answer, so that callers connect to another instance. Pipelined requests that were read
+     * before are answered first; no more are read.
+     */
     void closeAfterAnswer();
 
     /** Closes the connections that are not receiving a request and have no unanswered one. */
