Draw in one order on every processor in the load tool's schedule

Cause: the steady workload drew the kind of a request and its key in the argument list of one call; g++ evaluates it right to left on x86-64 and left to right on arm64.

Change: the kind is drawn first, as on x86-64. The other random tests (tests/unit, tests/measure_dispatch, tests/model, tests/standins) were read for the same pattern; none has it.

--- a/tests/standins/load_tool/arrival_schedule.cpp
+++ b/tests/standins/load_tool/arrival_schedule.cpp
@@ -39,7 +39,8 @@
     void addSteadyWorkload(double rate, bool idempotentOnly)
     {
         addArrivals(rate, false, [this, idempotentOnly](double) {
-            return makeTrackingRequest(uniform(m_settings.keys), !idempotentOnly && uniform(5) == 0);
+            const bool pickup = !idempotentOnly && uniform(5) == 0;
+            return makeTrackingRequest(uniform(m_settings.keys), pickup);
         });
     }
 
