Send no request in a planned stop that cannot be finished

Callers lost requests that arrived late in a planned stop: they were read, passed on, and cut off at the end of the stop, with 504 or, in the last 250 ms, without an answer. Endpoints were told that they had time beyond the end of the process.

Requests were taken like before the stop until the process was gone.

A request that cannot be finished by the end of the stop is now refused with 503, Retry-After and Connection: close before it is sent, also one that waits. While the instance is in rotation three times the typical run time must be left, later the time up to the deadline of the request. An endpoint gets no more time than is left.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -354,7 +354,8 @@
     metrics.counter("sycamoretray_answers_total{result=\"" + result + "\"}").add();
     const time_span taken = steadyNow() - arrived;
     metrics.distribution("sycamoretray_request_seconds").record(std::chrono::duration<double>(taken).count());
-    handle->answer(platform::encodeAnswer(std::move(answer), id));
+    const bool stopped = !answer.response && answer.code == result_code::instance_stopping;
+    handle->answer(platform::encodeAnswer(std::move(answer), id), stopped);
 }
 
 void gateway_daemon::impl::armGatewayTimer()
@@ -542,6 +543,7 @@
     }
     stopStarted = steadyNow();
     logEvent("instance_stopping", { { "unfinished", std::to_string(router.unfinished()) } });
+    router.setStop({ stopStarted + settings.stopLimit - stopReserve, stopStarted + rotationRemovalTime });
     ownership.leave();
     permits.resign();
     relayedStore.setReader(settings.internalAddress, 0);
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -119,6 +119,7 @@
     gateway_log log;
     permit_source *permits = nullptr;
     std::uint64_t lastPermit = 0;
+    std::optional<planned_stop> stop;
     std::shared_ptr<const request_routes> routes;
     ownership_view ownership;
     monotonic_time ownershipSince{};
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -50,6 +50,10 @@
     const service_definition *definition = routes->service(pending.service);
     pending.byKey = definition != nullptr && definition->dividedByKey;
     retryBudget(pending.service).earn(now);
+    if (!canFinish(pending, now)) {
+        refuse(pending, result_code::instance_stopping, shortRetryAfter, now);
+        return;
+    }
     if (pending.byKey && !pending.request.key) {
         refuse(pending, result_code::key_missing, std::nullopt, now);
         return;
@@ -292,6 +296,11 @@
     return d->timers.empty() ? monotonic_time::max() : d->timers.begin()->first;
 }
 
+void gateway::setStop(const planned_stop &stop)
+{
+    d->stop = stop;
+}
+
 void gateway::finishAll(monotonic_time now)
 {
     std::vector<gateway_request_id> ids;
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -53,6 +53,14 @@
     std::uint64_t permitIdBase = 0;
 };
 
+/** Times of the planned stop of an instance. */
+struct planned_stop {
+    /** Requests in flight are given up then. */
+    monotonic_time end{};
+    /** Load balancers send no new connections from then on. */
+    monotonic_time outOfRotation{};
+};
+
 /** Requests that one instance sent to an endpoint that names a request limit. */
 struct limited_endpoint_load {
     endpoint_id endpoint;
@@ -117,6 +125,13 @@
     /** Time of the next call to advance(), which may be in the past; the maximum if nothing is due. */
     monotonic_time nextDue() const;
 
+    /**
+     * Limits requests to the time until the end of a planned stop. A request that cannot be finished by then is not sent, but refused
+     * with instance_stopping. For a request that arrives while the instance is in rotation, its typical run time decides;
+     * for a later one, its deadline.
+     */
+    void setStop(const planned_stop &stop);
+
     /** Answers all requests: with instance_stopping if not in flight, otherwise with a code that says that the outcome is unknown. */
     void finishAll(monotonic_time now);
 
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -20,6 +20,8 @@
 constexpr double otherZonePenaltyFactor = 1.5;
 // A request is refused at once if the answer is expected to take longer than this multiple of its latency target.
 constexpr double queueTargetFactor = 1.25;
+// While the instance stops, a request is sent if this multiple of its typical run time is left. Run times vary by about this factor.
+constexpr int stopRunTimeFactor = 3;
 
 } // namespace
 
@@ -140,6 +142,11 @@
         expire(pending, now);
         return;
     }
+    if (!canFinish(pending, now)) {
+        pending.state = request_state::parked;
+        refuse(pending, result_code::instance_stopping, shortRetryAfter, now);
+        return;
+    }
     pending.state = request_state::in_flight;
     pending.attempt = endpoint_attempt_id(++lastAttempt);
     pending.sentAt = now;
@@ -149,7 +156,19 @@
     attempts.emplace(pending.attempt, pending.id);
     tracked.limiter.sent(now);
     recordLimitedSend(pending, tracked.limiter);
-    port.send(pending.attempt, tracked.limiter.entry(), pending.request, pending.deadline - now);
+    const monotonic_time deadline = stop ? std::min(pending.deadline, stop->end) : pending.deadline;
+    port.send(pending.attempt, tracked.limiter.entry(), pending.request, deadline - now);
+}
+
+bool gateway::impl::canFinish(const unanswered_request &pending, monotonic_time now) const
+{
+    if (!stop) {
+        return true;
+    }
+    if (pending.arrived >= stop->outOfRotation) {
+        return pending.deadline <= stop->end;
+    }
+    return now + std::max(minTimeLeft, runTimes.of(pending.route) * stopRunTimeFactor) < stop->end;
 }
 
 void gateway::impl::recordLimitedSend(const unanswered_request &pending, const endpoint_limiter &limiter)
--- a/tests/integration/endpoint_faults_test.py
+++ b/tests/integration/endpoint_faults_test.py
@@ -87,7 +87,7 @@
         return int(next(line for line in status if line.startswith("VmRSS")).split()[1]) / 1024
 
 
-class EndpointFaultsTest(unittest.TestCase):
+class EndpointCase(unittest.TestCase):
     """The service that is not divided by key has a single endpoint, the faulty one, so that every request for the service meets the fault."""
 
     def setUp(self):
@@ -104,6 +104,8 @@
     serves = gateway_test.GatewayTest.serves
     assert_served_for = gateway_test.GatewayTest.assert_served_for
 
+
+class EndpointFaultsTest(EndpointCase):
     def test_duplicate_answer_arrives_late(self):
         """A duplicate answer must not be delivered as the answer to the next request on the connection."""
 
--- a/tests/unit/gateway/endpoint_emulator.cpp
+++ b/tests/unit/gateway/endpoint_emulator.cpp
@@ -144,13 +144,14 @@
     m_events.emplace(when, std::move(action));
 }
 
-void endpoint_emulator::send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span /*timeLeft*/)
+void endpoint_emulator::send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft)
 {
     const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const emulated_endpoint &each) {
         return each.incarnation == endpoint.incarnation;
     });
     const auto index = static_cast<std::size_t>(found - endpoints.begin());
     m_sends.push_back(index);
+    m_timesLeft.push_back(timeLeft);
     m_attempts[attempt] = { index, std::stoul(request.id.value()), false };
     schedule(m_now + networkDelay, [this, attempt] {
         arrive(attempt);
--- a/tests/unit/gateway/endpoint_emulator.h
+++ b/tests/unit/gateway/endpoint_emulator.h
@@ -93,6 +93,12 @@
         return m_sends;
     }
 
+    /** Time that was passed to the endpoint with each request that was sent, in order. */
+    const std::vector<time_span> &timesLeft() const noexcept
+    {
+        return m_timesLeft;
+    }
+
     void send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft) override;
     void abort(endpoint_attempt_id attempt) override;
 
@@ -122,6 +128,7 @@
     std::vector<time_span> m_work;
     std::vector<gateway_request_id> m_ids;
     std::vector<std::size_t> m_sends;
+    std::vector<time_span> m_timesLeft;
     std::map<endpoint_id, listed_endpoint> m_listed;
     std::uint64_t m_revision = 0;
     std::mt19937_64 m_random{ 5 };
--- a/tests/unit/gateway/gateway_test.cpp
+++ b/tests/unit/gateway/gateway_test.cpp
@@ -201,3 +201,59 @@
     cr_expect_eq(outcomeClass(simulation.answers()[queued].code), request_outcome_class::not_run);
     cr_expect_eq(simulation.router().unfinished(), 0U);
 }
+
+// Guards against requests that arrive late in a planned stop, are sent, and are cut off at an endpoint by its end.
+Test(gateway, stopping_instance_sends_only_requests_that_it_can_finish)
+{
+    endpoint_emulator simulation(2, false);
+    simulation.submit(shortWork);
+    simulation.run(std::chrono::seconds(1));
+    simulation.router().setStop({ simulation.now() + std::chrono::seconds(2), simulation.now() + std::chrono::seconds(1) });
+    // In rotation, the typical run time decides. The endpoint gets no more time than is left.
+    simulation.run(std::chrono::milliseconds(990));
+    const std::size_t early = simulation.submit(shortWork, 0, 0, std::chrono::milliseconds(1000));
+    simulation.run(std::chrono::milliseconds(20));
+    const std::size_t fits = simulation.submit(shortWork, 0, 0, std::chrono::milliseconds(900));
+    simulation.run(std::chrono::milliseconds(200));
+    const std::size_t late = simulation.submit(shortWork, 0, 0, std::chrono::milliseconds(900));
+    cr_expect_eq(simulation.answers()[late].code, result_code::instance_stopping);
+    cr_expect(simulation.answers()[late].retryAfter.has_value());
+    simulation.run(std::chrono::seconds(2));
+    const std::size_t last = simulation.submit(shortWork, 0, 0, std::chrono::milliseconds(20));
+    cr_expect_eq(simulation.answers()[last].code, result_code::instance_stopping);
+    cr_expect_eq(simulation.answers()[early].status, 200U);
+    cr_expect_eq(simulation.answers()[fits].status, 200U);
+    cr_expect_eq(simulation.runs()[late] + simulation.runs()[last], 0U);
+    cr_expect_eq(simulation.timesLeft().size(), 3U);
+}
+
+// Guards against an endpoint that works on a request after the instance that sent it has ended.
+Test(gateway, endpoints_get_no_more_time_than_is_left_of_a_planned_stop)
+{
+    endpoint_emulator simulation(2, false);
+    const time_span left = std::chrono::milliseconds(600);
+    simulation.router().setStop({ simulation.now() + left, simulation.now() + left });
+    simulation.submit(shortWork, 0, 0, std::chrono::milliseconds(1000));
+    simulation.run(std::chrono::seconds(1));
+    cr_assert_eq(simulation.timesLeft().size(), 1U);
+    cr_expect_leq(simulation.timesLeft()[0].count(), left.count());
+}
+
+// Guards against requests that wait for an endpoint and are sent to it when they can't be finished any more.
+Test(gateway, waiting_request_is_refused_when_a_planned_stop_leaves_no_time_for_it)
+{
+    endpoint_emulator simulation(1, true);
+    simulation.endpoints[0].slots = 1;
+    simulation.publish();
+    const std::size_t running = simulation.submit(std::chrono::milliseconds(700));
+    simulation.run(std::chrono::milliseconds(10));
+    const std::size_t waiting = simulation.submit(shortWork);
+    cr_assert_not(simulation.answers()[waiting].answered);
+    const std::size_t sent = simulation.sends().size();
+    const monotonic_time end = simulation.now() + std::chrono::milliseconds(800);
+    simulation.router().setStop({ end, end });
+    simulation.run(std::chrono::milliseconds(750));
+    cr_expect_eq(simulation.answers()[running].status, 200U);
+    cr_expect_eq(simulation.answers()[waiting].code, result_code::instance_stopping);
+    cr_expect_eq(simulation.sends().size(), sent);
+}
