Tell an assigner without a path to endpoints from endpoints that are down

Callers saw refusals with no_owner at all instances, and no log line said whether the assigner had lost its path to the endpoints, endpoints were down, or grants had lapsed for another reason. The assigner now logs each endpoint that leaves its orders unanswered, that it reaches less than half of them, and that keys have lapsed, with counts; gauges name the assigner, its unresponsive endpoints and the lapsed keys. No decision changes.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -234,6 +234,15 @@
     metrics.gauge("sycamoretray_store_era", [this] {
         return static_cast<double>(feeds.era().value());
     });
+    metrics.gauge("sycamoretray_assigner", [this] {
+        return ownership.isLeader() ? 1.0 : 0.0;
+    });
+    metrics.gauge("sycamoretray_unresponsive_endpoints", [this] {
+        return static_cast<double>(ownership.unresponsiveEndpoints());
+    });
+    metrics.gauge("sycamoretray_lapsed_keys", [this] {
+        return static_cast<double>(ownership.lapsedKeys());
+    });
     metrics.gauge("sycamoretray_limited_endpoints", [this] {
         return static_cast<double>(router.limitedEndpoints());
     });
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -8,6 +8,7 @@
 #include "metadata_store/relay_standby.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
+#include "sycamoretrayd/gateway/assigner_reach_log.h"
 #include "sycamoretrayd/gateway/group_membership.h"
 #include "sycamoretrayd/gateway/relay_record.h"
 
@@ -33,6 +34,7 @@
 // The store reassigns the relay while the first members join the group, which takes about 0.1 s when a site starts.
 constexpr time_span groupFormationTime = std::chrono::milliseconds(400);
 constexpr std::uint32_t tickMilliseconds = 40;
+constexpr time_span reachInterval = std::chrono::milliseconds(200);
 constexpr time_span appendRetryInterval = std::chrono::milliseconds(100);
 constexpr time_span stopRequestInterval = std::chrono::milliseconds(300);
 constexpr const char *groupName = "sycamoretray-assigner";
@@ -84,6 +86,8 @@
     ownership_record_writer recordWriter;
     bool writing = false;
     monotonic_time nextWrite{};
+    assigner_reach_log reachLog;
+    monotonic_time nextReach{};
 
     std::uint64_t generation() const
     {
@@ -116,6 +120,20 @@
             requestPreviousAssignerStop(now);
             performActions();
         }
+        updateReach(now);
+    }
+
+    void updateReach(monotonic_time now)
+    {
+        if (now < nextReach) {
+            return;
+        }
+        nextReach = now + reachInterval;
+        std::map<service_id, endpoint_reach> services;
+        for (const auto &[service, assigner] : assigners) {
+            services[service] = assigner->reach(now);
+        }
+        reachLog.update(services, epoch, now);
     }
 
     void joinZoneGroup()
@@ -578,6 +596,16 @@
     return d->zoneGroup && d->zoneGroup->isLeader();
 }
 
+std::size_t ownership_runner::unresponsiveEndpoints() const
+{
+    return d->reachLog.unresponsiveEndpoints();
+}
+
+std::uint32_t ownership_runner::lapsedKeys() const
+{
+    return d->reachLog.lapsedKeys();
+}
+
 bool ownership_runner::isStoreAnswering() const
 {
     return !d->zoneGroup || d->zoneGroup->lastAnswerAt() == monotonic_time{} || steadyNow() - d->zoneGroup->lastAnswerAt() < relayDataMaxAge;
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -88,6 +88,12 @@
     /** Returns whether this instance is the elected relay of its zone, up to date or not. */
     bool leadsZoneGroup() const;
 
+    /** Number of endpoints that do not answer the orders of this instance; 0 if it is not the assigner. */
+    std::size_t unresponsiveEndpoints() const;
+
+    /** Number of keys whose owner holds them no longer because its grant was not renewed; 0 if this instance is not the assigner. */
+    std::uint32_t lapsedKeys() const;
+
     /** Returns whether the store answered recently or has not been called yet. */
     bool isStoreAnswering() const;
 
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -2,6 +2,7 @@
 
 #include "directory/endpoint_directory.h"
 #include "key_ownership/assigner_actions.h"
+#include "key_ownership/endpoint_reach.h"
 #include "key_ownership/key_load.h"
 
 #include <cstdint>
@@ -110,6 +111,9 @@
     /** Returns the current state for diagnostic dumps. */
     ownership_record current() const;
 
+    /** Returns which endpoints answer orders, and how many keys are unserved because their grants were not renewed. */
+    endpoint_reach reach(monotonic_time now) const;
+
 private:
     struct impl;
     std::unique_ptr<impl> d;
