Add a test of several ownership runners that fails

No test covered the elections of relays and of the assigner. ownership_runner_test runs several runners against a store with groups and producer epochs, and against endpoints on loopback, in real time. Two tests fail: a planned stop writes no resignation if the store does not answer at that moment, so that a successor that cannot ask the former assigner waits 13 s; an instance that has left the groups sends orders again as soon as an endpoint or the configuration changes.

--- /dev/null
+++ b/tests/unit/ownership_runner/elected_site.cpp
@@ -0,0 +1,189 @@
+#include "elected_site.h"
+
+#include "executor/steady_time.h"
+#include "platform/endpoint_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sycamoretray
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t endpointCount = 4;
+
+std::string configuration()
+{
+    return R"({"Version":1,"Routes":{"Columns":["Name","Hostname","PathPrefix","RouteType","TimeoutMs","TargetLatencyMs","Priority","TrafficSplit","MaxAttempts","Service"],
+"Rows":[["r","h","/","safe",1200,600,2,null,2,"s"]]},"Services":{"Columns":["Name","HealthCheckPath","MaxConnections","Protocol","Tls","Sharded","WarmupS",
+"Grants"],"Rows":[["s","/health",110,"h1",false,true,null,null]]},"Limits":{"MaxHeaderBytes":16384}})";
+}
+
+ownership_environment environmentOf(elected_site &site, electing_instance &instance)
+{
+    ownership_environment environment{ site.store(),
+                                       instance.feeds,
+                                       instance.endpoints,
+                                       {},
+                                       [] {},
+                                       [] {
+                                           return time_span::zero();
+                                       } };
+    environment.requestAssignerStop = [&site](const network_address &assigner, std::uint64_t epoch, std::function<void(bool)> done) {
+        site.executor().post([&site, assigner, epoch, done = std::move(done)] {
+            for (const auto &each : site.instances()) {
+                if (each->address == assigner) {
+                    done(each->runner.stopAssigningBefore(epoch));
+                }
+            }
+        });
+    };
+    return environment;
+}
+
+} // namespace
+
+electing_instance::electing_instance(elected_site &site, const std::string &zoneName, const std::string &name, double processorShare)
+    : relay(site.executor(),
+            [](bool) {
+                return true;
+            })
+    , address("10.0.0.1:" + std::to_string(site.instances().size() + 1))
+    , zone(zoneName)
+    , endpoints(site.executor(), nullptr)
+    , feeds(site.store(),
+            relay,
+            site.executor(),
+            { [this] {
+                 runner.directoryChanged();
+             },
+              [this] {
+                  runner.directoryChanged();
+              },
+              [] {},
+              [] {},
+              [] {},
+              [] {} })
+    , runner(site.executor(), { instance_id(name), zone, name, address, 1s, 10s, processorShare }, environmentOf(site, *this))
+{
+    feeds.start();
+    feeds.startAll();
+    runner.start();
+}
+
+elected_site::elected_site(const std::vector<std::size_t> &zones, double processorShare)
+{
+    m_store.put("keyed.op", "config", configuration());
+    m_endpoints.resize(endpointCount);
+    for (std::size_t i = 0; i < endpointCount; ++i) {
+        addEndpoint(i);
+    }
+    for (std::size_t zone = 0; zone < zones.size(); ++zone) {
+        for (std::size_t i = 0; i < zones[zone]; ++i) {
+            const std::string zoneName(1, static_cast<char>('a' + zone));
+            m_instances.push_back(std::make_unique<electing_instance>(*this, zoneName, "front-" + zoneName + "-" + std::to_string(i), processorShare));
+        }
+    }
+}
+
+void elected_site::addEndpoint(std::size_t index)
+{
+    http_server_settings settings;
+    settings.address = network_address("127.0.0.1:0");
+    const auto handle = [this, index](const http_request &request, const std::shared_ptr<answer_handle> &handle) {
+        fake_endpoint &endpoint = m_endpoints[index];
+        ++m_orders;
+        if (request.target == "/api/grant") {
+            const monotonic_time now = steadyNow();
+            endpoint.longestGap = std::max(endpoint.longestGap, endpoint.lastGrant ? now - *endpoint.lastGrant : time_span::zero());
+            endpoint.lastGrant = now;
+        }
+        http_response response;
+        response.status = 200;
+        handle->answer(response);
+    };
+    m_endpoints[index].server = std::make_unique<http_server>(m_context, settings, handle);
+    m_endpoints[index].server->start();
+    const nlohmann::json entry = { { "Service", "s" },       { "Address", "127.0.0.1:" + std::to_string(m_endpoints[index].server->port()) },
+                                   { "Zone", "a" },          { "Version", "v1" },
+                                   { "Slots", 2 },           { "State", "ready" },
+                                   { "ColdRemainingMs", 0 }, { "Sequence", 1 },
+                                   { "born", 1700000000123 } };
+    m_store.put(platform::endpointTopic, "e" + std::to_string(index), entry.dump());
+}
+
+void elected_site::run(time_span duration)
+{
+    m_context.run_for(duration);
+}
+
+bool elected_site::allGranted() const
+{
+    return std::all_of(m_endpoints.begin(), m_endpoints.end(), [](const fake_endpoint &each) {
+        return each.lastGrant.has_value();
+    });
+}
+
+electing_instance *elected_site::runUntilAssigned()
+{
+    for (const monotonic_time end = steadyNow() + 6s; steadyNow() < end;) {
+        run(20ms);
+        if (assigner() != nullptr && allGranted()) {
+            // The other relays join the group of the assigner within the time between joins.
+            run(800ms);
+            takeLongestGap();
+            return assigner();
+        }
+    }
+    return nullptr;
+}
+
+std::optional<time_span> elected_site::runUntilAssignerOtherThan(const electing_instance *former, time_span limit)
+{
+    for (const monotonic_time start = steadyNow(); steadyNow() < start + limit;) {
+        run(10ms);
+        if (assigner() != nullptr && assigner() != former) {
+            return steadyNow() - start;
+        }
+    }
+    return std::nullopt;
+}
+
+electing_instance *elected_site::assigner()
+{
+    for (const auto &each : m_instances) {
+        if (each->runner.isLeader()) {
+            return each.get();
+        }
+    }
+    return nullptr;
+}
+
+std::vector<electing_instance *> elected_site::relays()
+{
+    std::vector<electing_instance *> result;
+    for (const auto &each : m_instances) {
+        if (each->runner.leadsZoneGroup()) {
+            result.push_back(each.get());
+        }
+    }
+    return result;
+}
+
+time_span elected_site::takeLongestGap()
+{
+    time_span longest{};
+    const monotonic_time now = steadyNow();
+    for (fake_endpoint &each : m_endpoints) {
+        longest = std::max({ longest, each.longestGap, each.lastGrant ? now - *each.lastGrant : time_span::zero() });
+        each.longestGap = {};
+    }
+    return longest;
+}
+
+} // namespace sycamoretray
