Write the resignation of an assigner also after a failed append

Cause: at a planned stop the resignation was appended once, and only if no other record was being written. If the store did not answer then, or the appended record was lost, a successor that cannot ask the former assigner waits 13 s before it passes on keys of an endpoint that it cannot reach. Change: the appends of an assigner are a class of their own, ownership_appender, which appends the resignation of all services in one call after the append in flight, and retries until it is acknowledged, superseded, or of no more use. Measured: resignation_is_written_when_the_store_answers_again failed before and passes.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -4,18 +4,17 @@
 #include "key_ownership/assigner_epoch.h"
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
-#include "key_ownership/ownership_parts.h"
 #include "metadata_store/relay_standby.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
 #include "sycamoretrayd/gateway/assigner_reach_log.h"
 #include "sycamoretrayd/gateway/group_membership.h"
+#include "sycamoretrayd/gateway/ownership_appender.h"
 #include "sycamoretrayd/gateway/relay_record.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <utility>
 
@@ -35,11 +34,9 @@
 constexpr time_span groupFormationTime = std::chrono::milliseconds(400);
 constexpr std::uint32_t tickMilliseconds = 40;
 constexpr time_span reachInterval = std::chrono::milliseconds(200);
-constexpr time_span appendRetryInterval = std::chrono::milliseconds(100);
 constexpr time_span stopRequestInterval = std::chrono::milliseconds(300);
 constexpr const char *groupName = "sycamoretray-assigner";
 constexpr const char *zoneGroupPrefix = "sycamoretray-relay-";
-constexpr const char *producerName = "assigner";
 
 } // namespace
 
@@ -51,13 +48,6 @@
     {
     }
 
-    struct queued_write {
-        service_id service;
-        write_record write;
-        /** Records of the append; a retry has to send the same records. */
-        std::vector<keyed_value> records;
-    };
-
     serial_executor executor;
     ownership_runner_settings settings;
     ownership_environment environment;
@@ -76,16 +66,13 @@
     std::uint64_t epoch = 0;
     /** Highest epoch known to be used by any instance. */
     std::uint64_t highestEpoch = 0;
-    std::uint64_t nextSequence = 0;
     topic_position claimEnd;
     /** Assigner of the previous epoch. */
     network_address previousAssigner;
     bool previousAssignerStopped = true;
     monotonic_time nextStopRequest{};
-    std::deque<queued_write> writes;
-    ownership_record_writer recordWriter;
-    bool writing = false;
-    monotonic_time nextWrite{};
+    /** Set while this instance is the assigner. */
+    std::unique_ptr<ownership_appender> appender;
     assigner_reach_log reachLog;
     monotonic_time nextReach{};
 
@@ -233,9 +220,7 @@
             logEvent("assigner_stopped", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
             assigners.clear();
             environment.endpoints.closeGrantConnections();
-            writes.clear();
-            writing = false;
-            recordWriter.forgetAll();
+            appender.reset();
             break;
         case leadership_phase::claiming:
             claim();
@@ -258,7 +243,7 @@
         logEvent("assigner_claims", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
         environment.store.append(platform::ownershipTopic,
                                  {},
-                                 producer_position{ producerName, epoch, std::nullopt },
+                                 producer_position{ assignerProducer, epoch, std::nullopt },
                                  [weak = weak_from_this(), claimed = epoch](const append_reply &reply) {
                                      const auto self = weak.lock();
                                      if (self && !self->stopped && self->epoch == claimed) {
@@ -277,7 +262,6 @@
             process(leadership_event::fenced);
             return;
         }
-        nextSequence = 0;
         claimEnd = reply.end;
         finishClaim();
     }
@@ -293,6 +277,7 @@
     void startLeading()
     {
         logEvent("assigner_started", { { "epoch", std::to_string(epoch) } });
+        appender = std::make_unique<ownership_appender>(environment.store, executor, epoch, appendObserver());
         previousAssigner = network_address();
         previousAssignerStopped = true;
         for (const auto &[service, record] : environment.feeds.ownership().records()) {
@@ -385,7 +370,7 @@
                     action);
             }
         }
-        writeNext();
+        appender->advance();
     }
 
     order_callback orderCallback(const service_id &service)
@@ -426,91 +411,52 @@
 
     void perform(const service_id &service, const write_record &action)
     {
-        writes.push_back({ service, action, {} });
+        appender->push(service, action);
     }
 
     // --- writing ---
 
-    void writeNext()
+    ownership_append_observer appendObserver()
     {
-        if (writing || writes.empty() || steadyNow() < nextWrite) {
-            return;
-        }
-        writing = true;
-        queued_write &next = writes.front();
-        if (next.records.empty()) {
-            next.records = recordWriter.changes(next.write.record);
-        }
-        environment.store.append(platform::ownershipTopic,
-                                 next.records,
-                                 producer_position{ producerName, epoch, nextSequence },
-                                 [weak = weak_from_this(), sentIn = epoch](const append_reply &reply) {
-                                     const auto self = weak.lock();
-                                     if (self && !self->stopped && self->epoch == sentIn && self->isLeader()) {
-                                         self->written(reply);
-                                     }
-                                 });
+        // The appender calls nothing after its destruction, which comes before that of this object.
+        return { [this](const service_id &service, const write_record &write) {
+                    const auto found = assigners.find(service);
+                    if (found != assigners.end()) {
+                        found->second->recordWritten(write.revision, true, steadyNow());
+                    }
+                    environment.feeds.applyOwnership(write.record);
+                },
+                 [this] {
+                     logEvent(event_severity::warning, "assigner_superseded", { { "epoch", std::to_string(epoch) } });
+                     process(leadership_event::fenced);
+                 },
+                 [this] {
+                     performActions();
+                 } };
     }
 
-    void written(const append_reply &reply)
-    {
-        writing = false;
-        switch (reply.result) {
-        case store_result::ok:
-            finishWrite(true);
-            break;
-        case store_result::unknown:
-            // The append is retried with the same sequence number, so the store executes it at most once.
-            nextWrite = steadyNow() + appendRetryInterval / 2;
-            break;
-        case store_result::fenced:
-        case store_result::out_of_sequence:
-            logEvent(event_severity::warning, "assigner_superseded", { { "epoch", std::to_string(epoch) } });
-            process(leadership_event::fenced);
-            return;
-        case store_result::unavailable:
-            nextWrite = steadyNow() + appendRetryInterval;
-            break;
-        case store_result::expired:
-        case store_result::rejected:
-            logEvent(event_severity::error, "ownership_record_rejected", { { "service", writes.front().service.value() } });
-            nextWrite = steadyNow() + appendRetryInterval;
-            break;
-        }
-        performActions();
-    }
+    // --- shutdown ---
 
-    void finishWrite(bool success)
+    /** Stops sending orders for good under the present epoch. A successor does not wait for the grants of a resigned assigner to expire. */
+    void resign()
     {
-        const queued_write done = std::move(writes.front());
-        writes.pop_front();
-        ++nextSequence;
-        if (success) {
-            recordWriter.written(done.write.record);
+        if (!isLeader()) {
+            return;
         }
-        const auto found = assigners.find(done.service);
-        if (found != assigners.end()) {
-            found->second->recordWritten(done.write.revision, success, steadyNow());
+        std::vector<ownership_record> resignations;
+        for (const auto &[service, assigner] : assigners) {
+            resignations.push_back(assigner->resignation());
         }
-        environment.feeds.applyOwnership(done.write.record);
+        assigners.clear();
+        appender->resign(std::move(resignations));
     }
 
-    // --- shutdown ---
-
     void leave()
     {
         if (std::exchange(stopped, true)) {
             return;
         }
-        if (isLeader() && writes.empty()) {
-            // A successor does not wait for the grants of a resigned assigner to expire.
-            for (const auto &[service, assigner] : assigners) {
-                environment.store.append(platform::ownershipTopic,
-                                         recordWriter.changes(assigner->resignation()),
-                                         producer_position{ producerName, epoch, nextSequence++ },
-                                         [](const append_reply &) {});
-            }
-        }
+        resign();
         assigners.clear();
         if (zoneGroup) {
             zoneGroup->leave();
