Send no orders after a planned stop of the assigner

Cause: an assigner that had resigned and left the groups stayed in the phase leading, so that the next change of an endpoint or of the configuration made it assign keys and send grants again, for 13 s, beside its successor. Change: it stops leading when it leaves.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -457,7 +457,7 @@
             return;
         }
         resign();
-        assigners.clear();
+        process(leadership_event::partition_revoked);
         if (zoneGroup) {
             zoneGroup->leave();
         }
