--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -497,6 +497,10 @@
     d->leave();
 }
 
+void ownership_runner::setIsolated(bool /*isolated*/)
+{
+}
+
 void ownership_runner::storeRestored()
 {
     d->storeRestored();
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -42,7 +42,8 @@
 
 /**
  * Runs the elections in which this instance takes part, and the duties of their leaders. The relay of an availability zone reads the
- * store on behalf of the zone's instances. The relays of all zones elect the assigner, which assigns the keys of all services to endpoints.
+ * store on behalf of the zone's instances. The relays of all zones elect the assigner, which assigns the keys of all services to endpoints;
+ * those that reach no endpoints do not stand for it.
  *
  * Thread safety: none; used on the strand of its executor.
  */
@@ -59,6 +60,12 @@
     /** Stops assigning and leaves both groups. */
     void leave();
 
+    /**
+     * Has to be called when this instance becomes isolated, and when it is so no longer. An isolated instance is not the assigner: it resigns at
+     * once and leaves the election. It remains the relay of its zone, unless no instance takes over the assignment of keys.
+     */
+    void setIsolated(bool isolated);
+
     /** Has to be called when the store has returned from an older copy: writes again what this instance wrote there. */
     void storeRestored();
 
