Replace an assigner that is isolated

Cause: the assigner needs a path to every endpoint, but its role depends on the store only. Without the path it takes itself for disconnected and moves nothing, and all grants lapse after 2.5 s. Change: setIsolated() makes an instance resign at once and leave the election; it stands again when it is not isolated, at once if nobody assigns, else after 2 s without an interruption. The assigner is elected among relays: if none takes over within 0.35 s, isolated members leave their zones' groups for 2 s, and standbys join early.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -2,8 +2,10 @@
 
 #include "executor/steady_time.h"
 #include "key_ownership/assigner_epoch.h"
+#include "key_ownership/current_assigner.h"
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
+#include "key_ownership/role_eligibility.h"
 #include "metadata_store/relay_standby.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
@@ -56,9 +58,12 @@
     bool stopped = false;
     monotonic_time startedAt{};
     std::optional<relay_standby> standby;
+    role_eligibility eligibility;
+    /** This instance was the relay of its zone at the last join of its group. */
+    bool relaying = false;
     /** Group that elects the relay of the zone. */
     std::unique_ptr<group_membership> zoneGroup;
-    /** Group that elects the assigner; set while this instance is the relay of its zone. */
+    /** Group that elects the assigner; set while this instance is the relay of its zone and may be the assigner. */
     std::unique_ptr<group_membership> assignerGroup;
     bool announcementPending = false;
     /** Era of the store in which this instance announced itself as the relay. */
@@ -91,14 +96,15 @@
     void tick()
     {
         const monotonic_time now = steadyNow();
-        const bool participates = standby->participates({ environment.feeds.relays().contains(settings.zone), environment.relayFailureDuration() }, now);
-        if (!zoneGroup && participates) {
+        updateRoles(now);
+        const relay_status relay{ environment.feeds.relays().contains(settings.zone), environment.relayFailureDuration(), eligibility.unassignedFor(now) };
+        const bool participates = standby->participates(relay, now);
+        if (!zoneGroup && participates && eligibility.mayRelay()) {
             joinZoneGroup();
         }
         if (zoneGroup && !zoneGroup->isLeader() && !assignerGroup && !participates) {
             logEvent("reserve_dismissed", { { "zone", settings.zone.value() } });
-            zoneGroup->leave();
-            zoneGroup.reset();
+            leaveZoneGroup();
         }
         if (leadership.phase() == leadership_phase::claiming) {
             finishClaim();
@@ -123,6 +129,30 @@
         reachLog.update(services, epoch, now);
     }
 
+    /** Returns whether an instance assigns keys, or no keys were ever assigned. */
+    bool isAssigned() const
+    {
+        const ownership_view &ownership = environment.feeds.ownership();
+        const auto assigner = currentAssigner(ownership);
+        return isLeader() || ownership.records().empty() || (assigner && !(*assigner == settings.internalAddress));
+    }
+
+    /** Gives up roles that this instance may not have, and stands for those that it may have. */
+    void updateRoles(monotonic_time now)
+    {
+        eligibility.update(isAssigned(), now);
+        if (!eligibility.mayAssign() && assignerGroup) {
+            leaveAssignerGroup();
+        }
+        if (!eligibility.mayRelay() && zoneGroup) {
+            logEvent("relay_stands_aside", { { "zone", settings.zone.value() }, { "relay", relaying ? "true" : "false" } });
+            leaveZoneGroup();
+        }
+        if (eligibility.mayAssign() && relaying && !assignerGroup) {
+            joinAssignerGroup();
+        }
+    }
+
     void joinZoneGroup()
     {
         const std::string group = zoneGroupPrefix + settings.zone.value();
@@ -136,26 +166,55 @@
         zoneGroup->start();
     }
 
-    /** The assigner is elected among the relays of all zones. */
+    void leaveZoneGroup()
+    {
+        if (assignerGroup) {
+            leaveAssignerGroup();
+        }
+        if (std::exchange(relaying, false)) {
+            logEvent("relay_stopped", { { "zone", settings.zone.value() } });
+        }
+        zoneGroup->leave();
+        zoneGroup.reset();
+    }
+
     void zoneGroupAnswered()
     {
-        if (zoneGroup->isLeader() && !assignerGroup) {
+        const bool leads = zoneGroup->isLeader();
+        if (leads && !relaying) {
             logEvent("relay_started", { { "zone", settings.zone.value() } });
-            assignerGroup = std::make_unique<group_membership>(
-                environment.store, executor, group_settings{ groupName, settings.incarnation, platform::ownershipTopic, settings.memberTimeToLive }, [this] {
-                    assignerGroupAnswered();
-                });
-            assignerGroup->start();
-        } else if (!zoneGroup->isLeader() && assignerGroup) {
+        } else if (!leads && relaying) {
             logEvent("relay_stopped", { { "zone", settings.zone.value() } });
-            process(leadership_event::partition_revoked);
-            assignerGroup->leave();
-            assignerGroup.reset();
         }
-        announceRelay();
+        relaying = leads;
+        if (!leads && assignerGroup) {
+            leaveAssignerGroup();
+        }
+        updateRoles(steadyNow());
+        if (zoneGroup) {
+            announceRelay();
+        }
         environment.storeAnswered();
     }
 
+    /** The assigner is elected among the relays of all zones. */
+    void joinAssignerGroup()
+    {
+        assignerGroup = std::make_unique<group_membership>(
+            environment.store, executor, group_settings{ groupName, settings.incarnation, platform::ownershipTopic, settings.memberTimeToLive }, [this] {
+                assignerGroupAnswered();
+            });
+        assignerGroup->start();
+    }
+
+    void leaveAssignerGroup()
+    {
+        resign();
+        process(leadership_event::partition_revoked);
+        assignerGroup->leave();
+        assignerGroup.reset();
+    }
+
     void assignerGroupAnswered()
     {
         process(assignerGroup->isLeader() ? leadership_event::partition_assigned : leadership_event::partition_revoked);
@@ -217,7 +276,10 @@
         }
         switch (leadership.phase()) {
         case leadership_phase::following:
-            logEvent("assigner_stopped", { { "epoch", std::to_string(epoch) }, { "generation", std::to_string(generation()) } });
+            logEvent("assigner_stopped",
+                     { { "epoch", std::to_string(epoch) },
+                       { "generation", std::to_string(generation()) },
+                       { "isolated", eligibility.isIsolated() ? "true" : "false" } });
             assigners.clear();
             environment.endpoints.closeGrantConnections();
             appender.reset();
@@ -456,14 +518,12 @@
         if (std::exchange(stopped, true)) {
             return;
         }
-        resign();
-        process(leadership_event::partition_revoked);
+        if (assignerGroup) {
+            leaveAssignerGroup();
+        }
         if (zoneGroup) {
             zoneGroup->leave();
         }
-        if (assignerGroup) {
-            assignerGroup->leave();
-        }
         logEvent("group_left", { { "epoch", std::to_string(epoch) } });
     }
 };
@@ -497,8 +557,12 @@
     d->leave();
 }
 
-void ownership_runner::setIsolated(bool /*isolated*/)
+void ownership_runner::setIsolated(bool isolated)
 {
+    d->eligibility.setIsolated(isolated, steadyNow());
+    if (!d->stopped) {
+        d->updateRoles(steadyNow());
+    }
 }
 
 void ownership_runner::storeRestored()
