Let other instances stand in for the assigner instead of changing relays

Cause: all relays were isolated, so isolated members left and joined the groups of their zones every 2.7 s. The store chooses the owner of a partition anew with each member that joins or leaves, also that of the assigner. Change: isolated relays remain relays. If no relay takes over within 0.2 s, instances that are not isolated join the assigner's group without being relays, one after another; relays that learn of a resignation join at once. An assigner that loses the election resigns too, so that its successor need not ask.

--- a/apps/sycamoretrayd/gateway/group_membership.cpp
+++ b/apps/sycamoretrayd/gateway/group_membership.cpp
@@ -35,6 +35,7 @@
     std::function<void()> answered;
     boost::asio::steady_timer timer;
     bool ended = false;
+    bool joining = false;
     bool unconfirmed = false;
     bool isLeader = false;
     monotonic_time leadershipConfirmedAt{};
@@ -44,6 +45,7 @@
     void join()
     {
         const monotonic_time sent = steadyNow();
+        joining = true;
         store.join(settings.group, settings.member, settings.topic, settings.timeToLive, generation, [weak = weak_from_this(), sent](const join_reply &reply) {
             const auto self = weak.lock();
             if (self && !self->ended) {
@@ -54,6 +56,7 @@
 
     void handleJoinReply(const join_reply &reply, monotonic_time sent)
     {
+        joining = false;
         const monotonic_time next = sent + settings.timeToLive / joinsPerTimeToLive;
         timer.expires_after(std::max<time_span>(time_span::zero(), next - steadyNow()));
         timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
@@ -97,6 +100,14 @@
     d->join();
 }
 
+void group_membership::joinNow()
+{
+    if (!d->ended && !d->joining) {
+        d->timer.cancel();
+        d->join();
+    }
+}
+
 void group_membership::leave()
 {
     if (std::exchange(d->ended, true)) {
--- a/apps/sycamoretrayd/gateway/group_membership.h
+++ b/apps/sycamoretrayd/gateway/group_membership.h
@@ -39,6 +39,9 @@
 
     void start();
 
+    /** Joins now instead of at the next regular time, unless a join is in flight. Precondition: start() was called. */
+    void joinNow();
+
     /** Ends the membership in the store. */
     void leave();
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -1,11 +1,11 @@
 #include "sycamoretrayd/gateway/ownership_runner.h"
 
 #include "executor/steady_time.h"
+#include "key_ownership/assigner_candidacy.h"
 #include "key_ownership/assigner_epoch.h"
 #include "key_ownership/current_assigner.h"
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
-#include "key_ownership/role_eligibility.h"
 #include "metadata_store/relay_standby.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
@@ -47,6 +47,7 @@
         : executor(std::move(givenExecutor))
         , settings(std::move(givenSettings))
         , environment(std::move(givenEnvironment))
+        , candidacy(settings.instance, isRelayCandidate(settings.processorShare))
     {
     }
 
@@ -58,12 +59,14 @@
     bool stopped = false;
     monotonic_time startedAt{};
     std::optional<relay_standby> standby;
-    role_eligibility eligibility;
+    assigner_candidacy candidacy;
     /** This instance was the relay of its zone at the last join of its group. */
     bool relaying = false;
+    /** The election was hurried since the last assigner resigned. */
+    bool electionHurried = false;
     /** Group that elects the relay of the zone. */
     std::unique_ptr<group_membership> zoneGroup;
-    /** Group that elects the assigner; set while this instance is the relay of its zone and may be the assigner. */
+    /** Group that elects the assigner; set while this instance takes part in the election. */
     std::unique_ptr<group_membership> assignerGroup;
     bool announcementPending = false;
     /** Era of the store in which this instance announced itself as the relay. */
@@ -96,15 +99,15 @@
     void tick()
     {
         const monotonic_time now = steadyNow();
-        updateRoles(now);
-        const relay_status relay{ environment.feeds.relays().contains(settings.zone), environment.relayFailureDuration(), eligibility.unassignedFor(now) };
-        const bool participates = standby->participates(relay, now);
-        if (!zoneGroup && participates && eligibility.mayRelay()) {
+        updateCandidacy(now);
+        const bool participates = standby->participates({ environment.feeds.relays().contains(settings.zone), environment.relayFailureDuration() }, now);
+        if (!zoneGroup && participates) {
             joinZoneGroup();
         }
         if (zoneGroup && !zoneGroup->isLeader() && !assignerGroup && !participates) {
             logEvent("reserve_dismissed", { { "zone", settings.zone.value() } });
-            leaveZoneGroup();
+            zoneGroup->leave();
+            zoneGroup.reset();
         }
         if (leadership.phase() == leadership_phase::claiming) {
             finishClaim();
@@ -137,20 +140,22 @@
         return isLeader() || ownership.records().empty() || (assigner && !(*assigner == settings.internalAddress));
     }
 
-    /** Gives up roles that this instance may not have, and stands for those that it may have. */
-    void updateRoles(monotonic_time now)
+    /** Joins or leaves the election of the assigner. */
+    void updateCandidacy(monotonic_time now)
     {
-        eligibility.update(isAssigned(), now);
-        if (!eligibility.mayAssign() && assignerGroup) {
+        const std::size_t instances = std::max<std::size_t>(1, candidateCount(environment.feeds.instances()));
+        const bool participates = candidacy.participates({ isAssigned(), isLeader(), relaying, instances }, now);
+        if (participates && !assignerGroup) {
+            joinAssignerGroup();
+        } else if (!participates && assignerGroup) {
             leaveAssignerGroup();
         }
-        if (!eligibility.mayRelay() && zoneGroup) {
-            logEvent("relay_stands_aside", { { "zone", settings.zone.value() }, { "relay", relaying ? "true" : "false" } });
-            leaveZoneGroup();
-        }
-        if (eligibility.mayAssign() && relaying && !assignerGroup) {
-            joinAssignerGroup();
+        // The first member that joins after a resignation is the successor.
+        const bool unassigned = candidacy.unassignedFor(now) > time_span::zero();
+        if (unassigned && !electionHurried && assignerGroup && !assignerGroup->isLeader()) {
+            assignerGroup->joinNow();
         }
+        electionHurried = unassigned;
     }
 
     void joinZoneGroup()
@@ -166,18 +171,6 @@
         zoneGroup->start();
     }
 
-    void leaveZoneGroup()
-    {
-        if (assignerGroup) {
-            leaveAssignerGroup();
-        }
-        if (std::exchange(relaying, false)) {
-            logEvent("relay_stopped", { { "zone", settings.zone.value() } });
-        }
-        zoneGroup->leave();
-        zoneGroup.reset();
-    }
-
     void zoneGroupAnswered()
     {
         const bool leads = zoneGroup->isLeader();
@@ -187,19 +180,16 @@
             logEvent("relay_stopped", { { "zone", settings.zone.value() } });
         }
         relaying = leads;
-        if (!leads && assignerGroup) {
-            leaveAssignerGroup();
-        }
-        updateRoles(steadyNow());
-        if (zoneGroup) {
-            announceRelay();
-        }
+        updateCandidacy(steadyNow());
+        announceRelay();
         environment.storeAnswered();
     }
 
-    /** The assigner is elected among the relays of all zones. */
     void joinAssignerGroup()
     {
+        if (!relaying) {
+            logEvent("assigner_stand_in", { { "zone", settings.zone.value() } });
+        }
         assignerGroup = std::make_unique<group_membership>(
             environment.store, executor, group_settings{ groupName, settings.incarnation, platform::ownershipTopic, settings.memberTimeToLive }, [this] {
                 assignerGroupAnswered();
@@ -217,7 +207,12 @@
 
     void assignerGroupAnswered()
     {
-        process(assignerGroup->isLeader() ? leadership_event::partition_assigned : leadership_event::partition_revoked);
+        if (assignerGroup->isLeader()) {
+            process(leadership_event::partition_assigned);
+        } else {
+            resign();
+            process(leadership_event::partition_revoked);
+        }
     }
 
     /** Publishes this instance as the relay of its zone, unless it is published already. */
@@ -279,7 +274,7 @@
             logEvent("assigner_stopped",
                      { { "epoch", std::to_string(epoch) },
                        { "generation", std::to_string(generation()) },
-                       { "isolated", eligibility.isIsolated() ? "true" : "false" } });
+                       { "isolated", candidacy.isIsolated() ? "true" : "false" } });
             assigners.clear();
             environment.endpoints.closeGrantConnections();
             appender.reset();
@@ -559,9 +554,9 @@
 
 void ownership_runner::setIsolated(bool isolated)
 {
-    d->eligibility.setIsolated(isolated, steadyNow());
+    d->candidacy.setIsolated(isolated, steadyNow());
     if (!d->stopped) {
-        d->updateRoles(steadyNow());
+        d->updateCandidacy(steadyNow());
     }
 }
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -42,8 +42,8 @@
 
 /**
  * Runs the elections in which this instance takes part, and the duties of their leaders. The relay of an availability zone reads the
- * store on behalf of the zone's instances. The relays of all zones elect the assigner, which assigns the keys of all services to endpoints;
- * those that reach no endpoints do not stand for it.
+ * store on behalf of the zone's instances. The relays of all zones elect the assigner, which assigns the keys of all services to endpoints.
+ * Isolated relays do not take part; if nobody is elected, other instances stand in.
  *
  * Thread safety: none; used on the strand of its executor.
  */
@@ -62,7 +62,7 @@
 
     /**
      * Has to be called when this instance becomes isolated, and when it is so no longer. An isolated instance is not the assigner: it resigns at
-     * once and leaves the election. It remains the relay of its zone, unless no instance takes over the assignment of keys.
+     * once and leaves the election. It can remain the relay of its zone. Must not be called from within a callback of the endpoints' connections.
      */
     void setIsolated(bool isolated);
 
--- /dev/null
+++ b/libs/key_ownership/assigner_candidacy.cpp
@@ -0,0 +1,87 @@
+#include "key_ownership/assigner_candidacy.h"
+
+#include <xxhash.h>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+// While another instance assigns, an instance with an unstable path does not change the group with each interruption.
+constexpr time_span stablePathTime = std::chrono::milliseconds(2000);
+// Relays join as soon as they know of a resignation; a claim and its first record take some tens of milliseconds, and reach the other instances
+// through their relays.
+constexpr time_span minStandInDelay = std::chrono::milliseconds(200);
+// Added for each instance of the site, so that few join before the first of them assigns.
+constexpr time_span standInSpacing = std::chrono::milliseconds(30);
+// Instances with little processor stand in last.
+constexpr time_span notPreferredDelay = std::chrono::milliseconds(500);
+// Members that stand in remain for this time after another instance assigns.
+constexpr time_span standInTime = std::chrono::milliseconds(6000);
+
+double placeOf(const instance_id &instance)
+{
+    const std::string &name = instance.value();
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(XXH64(name.data(), name.size(), 1) % steps) / static_cast<double>(steps);
+}
+
+} // namespace
+
+assigner_candidacy::assigner_candidacy(const instance_id &instance, bool preferred)
+    : m_place(placeOf(instance))
+    , m_preferred(preferred)
+{
+}
+
+void assigner_candidacy::setIsolated(bool isolated, monotonic_time now)
+{
+    if (m_isolated == isolated) {
+        return;
+    }
+    m_isolated = isolated;
+    m_trusted = false;
+    m_standInNeededAt.reset();
+    m_reachableSince = now;
+}
+
+bool assigner_candidacy::isIsolated() const noexcept
+{
+    return m_isolated;
+}
+
+bool assigner_candidacy::participates(const assigner_status &status, monotonic_time now)
+{
+    if (status.assigned) {
+        m_unassignedSince.reset();
+    } else if (!m_unassignedSince) {
+        m_unassignedSince = now;
+    }
+    if (m_isolated) {
+        return false;
+    }
+    m_trusted = m_trusted || !status.assigned || now - m_reachableSince >= stablePathTime;
+    return m_trusted && (status.relay || standsIn(status, now));
+}
+
+bool assigner_candidacy::standsIn(const assigner_status &status, monotonic_time now)
+{
+    if ((status.leads && m_standInNeededAt) || unassignedFor(now) >= standInDelay(status.instances)) {
+        m_standInNeededAt = now;
+    }
+    return m_standInNeededAt && now - *m_standInNeededAt < standInTime;
+}
+
+time_span assigner_candidacy::standInDelay(std::size_t instances) const
+{
+    const auto spread = std::chrono::duration_cast<time_span>(standInSpacing * (m_place * static_cast<double>(instances)));
+    return minStandInDelay + spread + (m_preferred ? time_span::zero() : notPreferredDelay);
+}
+
+time_span assigner_candidacy::unassignedFor(monotonic_time now) const noexcept
+{
+    return m_unassignedSince ? now - *m_unassignedSince : time_span::zero();
+}
+
+} // namespace sycamoretray
--- a/libs/metadata_store/relay_standby.cpp
+++ b/libs/metadata_store/relay_standby.cpp
@@ -17,16 +17,11 @@
 // Standbys stay members for this time after the relay works again.
 constexpr time_span leaveDelay = std::chrono::milliseconds(6000);
 
-// Relays that are isolated stand aside for 2 s, in which the first standbys have to join.
-constexpr time_span minUnassignedJoinDelay = std::chrono::milliseconds(500);
-constexpr time_span unassignedJoinDelaySpread = std::chrono::milliseconds(1500);
-
-/** Returns the part of @p spread that belongs to @p instance. */
-time_span shareOf(time_span spread, const instance_id &instance)
+time_span joinDelayOf(const instance_id &instance)
 {
     const std::string &name = instance.value();
     constexpr std::uint64_t steps = 1024;
-    return spread * static_cast<std::int64_t>(XXH64(name.data(), name.size(), 0) % steps) / static_cast<std::int64_t>(steps);
+    return minJoinDelay + joinDelaySpread * static_cast<std::int64_t>(XXH64(name.data(), name.size(), 0) % steps) / static_cast<std::int64_t>(steps);
 }
 
 } // namespace
@@ -39,8 +34,7 @@
 relay_standby::relay_standby(const instance_id &instance, double processorShare, monotonic_time startedAt)
     : m_candidate(isRelayCandidate(processorShare))
     , m_startedAt(startedAt)
-    , m_joinDelay(minJoinDelay + shareOf(joinDelaySpread, instance))
-    , m_unassignedJoinDelay(minUnassignedJoinDelay + shareOf(unassignedJoinDelaySpread, instance))
+    , m_joinDelay(joinDelayOf(instance))
 {
 }
 
@@ -50,8 +44,7 @@
         return true;
     }
     const bool relayMissing = !relay.known && now - m_startedAt >= m_joinDelay;
-    const bool unassigned = relay.known && relay.unassignedFor >= m_unassignedJoinDelay;
-    if (relayMissing || unassigned || relay.failingFor >= m_joinDelay) {
+    if (relayMissing || relay.failingFor >= m_joinDelay) {
         m_lastNeededAt = now;
     }
     return m_lastNeededAt && now - *m_lastNeededAt < leaveDelay;
--- a/libs/metadata_store/relay_standby.h
+++ b/libs/metadata_store/relay_standby.h
@@ -17,13 +17,11 @@
     bool known = false;
     /** How long the relay has failed while the store answers this instance; 0 if it does not fail. */
     time_span failingFor{};
-    /** For how long no instance has assigned keys; 0 if one does, or if this instance could not. */
-    time_span unassignedFor{};
 };
 
 /**
  * Decides whether an instance takes part in the election of its zone's relay. Relay candidates always do. The other instances are standbys:
- * they join one after another while the zone has no working relay, or no relay can assign keys, and leave some time after that. They neither join nor leave
+ * they join one after another while the zone has no working relay, and leave some time after it has one again. They neither join nor leave
  * all at once, because each change of the members makes the store reassign the relay, which interrupts the reads of the zone.
  *
  * Thread safety: none.
@@ -41,8 +39,6 @@
     monotonic_time m_startedAt;
     /** Time without a working relay after which this instance joins. */
     time_span m_joinDelay;
-    /** Shorter time without an assigner after which it joins. */
-    time_span m_unassignedJoinDelay;
     std::optional<monotonic_time> m_lastNeededAt;
 };
 
