--- a/tests/unit/ownership_runner/group_store.cpp
+++ b/tests/unit/ownership_runner/group_store.cpp
@@ -92,7 +92,7 @@
                        const std::string &member,
                        const std::string & /*topic*/,
                        time_span timeToLive,
-                       std::uint64_t /*generation*/,
+                       std::uint64_t generation,
                        std::function<void(join_reply)> done)
 {
     const monotonic_time now = steadyNow();
@@ -109,9 +109,10 @@
     for (auto &[name, expiry] : state.members) {
         expiry = name == member ? now + timeToLive : expiry;
     }
-    // A partition that is given to another member is free only after its owner has joined again.
+    // A partition that is to go to another member is free only after its owner has joined with a generation in which it is not listed.
     const std::string &chosen = state.members.back().first;
-    if (state.owner == member && chosen != member) {
+    const bool toOther = state.owner == member && chosen != member;
+    if (toOther && generation >= state.generation) {
         state.owner.clear();
     } else if (state.owner.empty() && chosen == member) {
         state.owner = member;
@@ -119,7 +120,7 @@
     join_reply reply;
     reply.result = store_result::ok;
     reply.generation = state.generation;
-    if (state.owner == member) {
+    if (state.owner == member && !toOther) {
         reply.partitions = { 0 };
     }
     m_executor.post([reply, done = std::move(done)] {
--- a/tests/unit/ownership_runner/group_store.h
+++ b/tests/unit/ownership_runner/group_store.h
@@ -5,7 +5,10 @@
 namespace sycamoretray
 {
 
-/** A store with groups and producer epochs. The partition of a group goes to its newest member, once the former owner has joined again or left. */
+/**
+ * A store with groups and producer epochs. The partition of a group goes to its newest member, once the former owner has joined again
+ * with a generation in which it is not listed, or has left.
+ */
 class group_store : public restorable_store
 {
 public:
