Release a lost partition at once

What callers saw: refusals with no_owner while no instance assigned keys, and reads of the store by all instances of a zone whose relay changed. Change: it joins again at once. Measured: lost_partition_is_released_at_once failed before and passes.

--- a/apps/sycamoretrayd/gateway/group_membership.cpp
+++ b/apps/sycamoretrayd/gateway/group_membership.cpp
@@ -19,6 +19,11 @@
 constexpr int joinsPerTimeToLive = 3;
 constexpr std::uint32_t firstPartition = 0;
 
+bool hasFirstPartition(const join_reply &reply)
+{
+    return std::find(reply.partitions.begin(), reply.partitions.end(), firstPartition) != reply.partitions.end();
+}
+
 } // namespace
 
 struct group_membership::impl : std::enable_shared_from_this<impl> {
@@ -57,7 +62,9 @@
     void handleJoinReply(const join_reply &reply, monotonic_time sent)
     {
         joining = false;
-        const monotonic_time next = sent + settings.timeToLive / joinsPerTimeToLive;
+        const bool lost = isLeader && reply.result == store_result::ok && !hasFirstPartition(reply);
+        // The store passes a partition on after its former owner has joined with the generation in which it lost it.
+        const monotonic_time next = lost ? steadyNow() : sent + settings.timeToLive / joinsPerTimeToLive;
         timer.expires_after(std::max<time_span>(time_span::zero(), next - steadyNow()));
         timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
             const auto self = weak.lock();
@@ -76,7 +83,7 @@
         }
         generation = reply.generation;
         lastAnswerAt = steadyNow();
-        isLeader = std::find(reply.partitions.begin(), reply.partitions.end(), firstPartition) != reply.partitions.end();
+        isLeader = hasFirstPartition(reply);
         if (isLeader) {
             leadershipConfirmedAt = sent;
         }
