Stand in for the assigner only when relays had the time to take over

Cause: 0.2 s is less than the time between joins, 0.33 s, and than the 0.4 s between reads of an instance that reads the store for itself. Change: 0.45 s.

--- a/libs/key_ownership/assigner_candidacy.cpp
+++ b/libs/key_ownership/assigner_candidacy.cpp
@@ -10,9 +10,9 @@
 
 // While another instance assigns, an instance with an unstable path does not change the group with each interruption.
 constexpr time_span stablePathTime = std::chrono::milliseconds(2000);
-// Relays join as soon as they know of a resignation; a claim and its first record take some tens of milliseconds, and reach the other instances
-// through their relays.
-constexpr time_span minStandInDelay = std::chrono::milliseconds(200);
+// Relays join as soon as they know of a resignation, at the latest after 0.33 s. An instance that reads the store for itself learns of their claim up to
+// 0.4 s later.
+constexpr time_span minStandInDelay = std::chrono::milliseconds(450);
 // Added for each instance of the site, so that few join before the first of them assigns.
 constexpr time_span standInSpacing = std::chrono::milliseconds(30);
 // Instances with little processor stand in last.
