--- a/tests/unit/ownership_runner/elected_site.cpp
+++ b/tests/unit/ownership_runner/elected_site.cpp
@@ -97,6 +97,10 @@
     settings.address = network_address("127.0.0.1:0");
     const auto handle = [this, index](const http_request &request, const std::shared_ptr<answer_handle> &handle) {
         fake_endpoint &endpoint = m_endpoints[index];
+        if (endpoint.silent) {
+            endpoint.unanswered.push_back(handle);
+            return;
+        }
         ++m_orders;
         if (request.target == "/api/grant") {
             const monotonic_time now = steadyNow();
@@ -117,6 +121,13 @@
     m_store.put(platform::endpointTopic, "e" + std::to_string(index), entry.dump());
 }
 
+void elected_site::setSilent(bool silent, std::size_t first)
+{
+    for (std::size_t i = first; i < m_endpoints.size(); ++i) {
+        m_endpoints[i].silent = silent;
+    }
+}
+
 void elected_site::run(time_span duration)
 {
     m_context.run_for(duration);
--- a/tests/unit/ownership_runner/elected_site.h
+++ b/tests/unit/ownership_runner/elected_site.h
@@ -32,7 +32,7 @@
     bool left = false;
 };
 
-/** Instances of several zones, a store, and endpoints that accept all orders, in real time on one thread. */
+/** Instances of several zones, a store, and 4 endpoints that accept all orders, in real time on one thread. */
 class elected_site
 {
 public:
@@ -65,6 +65,9 @@
     /** Longest time between two grants at any endpoint since the last call; includes the time since its last grant. */
     time_span takeLongestGap();
 
+    /** While true, the endpoints from index @p first on answer nothing; later, they do not answer what they got meanwhile. */
+    void setSilent(bool silent, std::size_t first = 0);
+
     /** Number of orders that the endpoints have received. */
     std::size_t orders() const noexcept
     {
@@ -74,6 +77,8 @@
 private:
     struct fake_endpoint {
         std::unique_ptr<http_server> server;
+        bool silent = false;
+        std::vector<std::shared_ptr<answer_handle>> unanswered;
         std::optional<monotonic_time> lastGrant;
         time_span longestGap{};
     };
