Move no keys while the assigner may have lost its path

Cause: its renewals fail one after another. It took the first endpoints for lost and moved their keys, until most endpoints were unresponsive; when the path returned, it did the same with those that had not been asked yet. Change: it starts no moves while two or more endpoints have left orders unanswered since any answered one, nor for 0.6 s after most were unresponsive.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -6,6 +6,7 @@
 #include "key_ownership/current_assigner.h"
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
+#include "key_ownership/path_evidence.h"
 #include "metadata_store/relay_standby.h"
 #include "observability/event_log.h"
 #include "platform/topics.h"
@@ -81,6 +82,7 @@
     monotonic_time nextStopRequest{};
     /** Set while this instance is the assigner. */
     std::unique_ptr<ownership_appender> appender;
+    path_evidence pathEvidence;
     assigner_reach_log reachLog;
     monotonic_time nextReach{};
 
@@ -335,6 +337,7 @@
     {
         logEvent("assigner_started", { { "epoch", std::to_string(epoch) } });
         appender = std::make_unique<ownership_appender>(environment.store, executor, epoch, appendObserver());
+        pathEvidence = {};
         previousAssigner = network_address();
         previousAssignerStopped = true;
         for (const auto &[service, record] : environment.feeds.ownership().records()) {
@@ -430,13 +433,27 @@
         appender->advance();
     }
 
-    order_callback orderCallback(const service_id &service)
+    /** Takes the outcome of an order as evidence about the path of this instance, which concerns all services. */
+    void updatePathEvidence(const endpoint_id &endpoint, order_outcome outcome)
     {
-        return [weak = weak_from_this(), service, sentIn = epoch](order_id order, order_reply reply) {
+        if (outcome == order_outcome::unanswered || outcome == order_outcome::unsent) {
+            pathEvidence.unanswered(endpoint);
+        } else if (outcome != order_outcome::connection_lost) {
+            pathEvidence.answered();
+        }
+        for (const auto &[service, assigner] : assigners) {
+            assigner->holdMoves(pathEvidence.isPathDoubtful());
+        }
+    }
+
+    order_callback orderCallback(const service_id &service, const endpoint_id &endpoint)
+    {
+        return [weak = weak_from_this(), service, endpoint, sentIn = epoch](order_id order, order_reply reply) {
             const auto self = weak.lock();
             if (!self || self->stopped || self->epoch != sentIn || !self->isLeader()) {
                 return;
             }
+            self->updatePathEvidence(endpoint, reply.outcome);
             const auto found = self->assigners.find(service);
             if (found != self->assigners.end()) {
                 found->second->orderDone(order, std::move(reply), steadyNow());
@@ -447,18 +464,18 @@
 
     void perform(const service_id &service, const send_grant &action)
     {
-        environment.endpoints.send(action, orderCallback(service));
+        environment.endpoints.send(action, orderCallback(service, action.endpoint.endpoint));
     }
 
     void perform(const service_id &service, const send_release &action)
     {
-        environment.endpoints.send(action, orderCallback(service));
+        environment.endpoints.send(action, orderCallback(service, action.endpoint.endpoint));
     }
 
     void perform(const service_id &service, const probe_endpoint &action)
     {
         const service_definition *definition = environment.feeds.routes()->service(service);
-        environment.endpoints.send(action, definition != nullptr ? definition->healthPath : "/", orderCallback(service));
+        environment.endpoints.send(action, definition != nullptr ? definition->healthPath : "/", orderCallback(service, action.endpoint.endpoint));
     }
 
     static void perform(const service_id & /*service*/, const log_decision &action)
--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -77,6 +77,10 @@
     monotonic_time lastEndpointAddedAt{};
     monotonic_time balanceNotBefore{};
     monotonic_time nextPlan{};
+    /** See key_assigner::holdMoves(). */
+    bool movesHeld = false;
+    /** End of the time in which the endpoints are found responsive again after most were not. */
+    monotonic_time movesNotBefore{};
     detail::holder_expiries expiries;
     /** Maximum validity of grants sent by a previous assigner. */
     time_span inheritedGrantLength{};
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -83,6 +83,9 @@
     /** Reports that every previous assigner has stopped sending grants. */
     void previousAssignerStopped(monotonic_time now);
 
+    /** Starts no moves while @p hold is true, because endpoints that are lost cannot be told from a lost path of this instance. */
+    void holdMoves(bool hold);
+
     /** Replaces the list of endpoints of the service. */
     void setEndpoints(std::vector<listed_endpoint> endpoints, monotonic_time now);
 
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -16,6 +16,10 @@
 // Number of ranges per endpoint above which adjacent ranges of one owner are joined, because each range is renewed by a separate call.
 constexpr std::size_t maxRangesPerEndpoint = 2;
 constexpr std::size_t maxJoinsPerPlan = 4;
+// Moves that were held start soon after the reason has gone.
+constexpr time_span heldPlanInterval = std::chrono::milliseconds(40);
+// Time for all endpoints to answer after a lost path has returned: the timeout of an order that was sent before, a retry, and some margin.
+constexpr time_span recoveryTime = std::chrono::milliseconds(600);
 
 } // namespace
 
@@ -159,7 +163,14 @@
 {
     nextPlan = now + settings.planInterval;
     detectEndedIncarnations();
-    if (endpoints.empty() || mostEndpointsUnresponsive() || !mayAssign(now)) {
+    if (!endpoints.empty() && mostEndpointsUnresponsive()) {
+        movesNotBefore = now + recoveryTime;
+    }
+    if (movesHeld || now < movesNotBefore) {
+        nextPlan = now + heldPlanInterval;
+        return;
+    }
+    if (endpoints.empty() || !mayAssign(now)) {
         return;
     }
     renewTokens(now);
--- a/libs/key_ownership/key_assigner_reach.cpp
+++ b/libs/key_ownership/key_assigner_reach.cpp
@@ -3,6 +3,11 @@
 namespace sycamoretray
 {
 
+void key_assigner::holdMoves(bool hold)
+{
+    d->movesHeld = hold;
+}
+
 endpoint_reach key_assigner::reach(monotonic_time now) const
 {
     endpoint_reach result;
