Block no endpoint for all because one instance has no path to it

Change: such an attempt says nothing about an endpoint that responded to another instance in the last 0.3 s. If it responded to nobody, it is blocked as before. Measured: endpoint_that_answers_others_is_not_blocked failed before and passes.

--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -17,6 +17,8 @@
 // A permit that is not returned expires after this many typical run times, but not before the minimum.
 constexpr int expiryInTypicalRunTimes = 8;
 constexpr time_span minExpiry = std::chrono::seconds(1);
+// A response shows that the endpoint was reachable at that time; a busy one responds several times in it.
+constexpr time_span responseLifetime = std::chrono::milliseconds(300);
 constexpr time_span minRetryAfter = std::chrono::milliseconds(100);
 constexpr time_span maxRetryAfter = std::chrono::seconds(2);
 // An endpoint that was already tried for a request is used again only if all others are slower by this factor.
@@ -31,6 +33,20 @@
 {
 }
 
+void permit_pool::pool_endpoint::recordResponse(const network_address &instance, monotonic_time now)
+{
+    if (!(lastResponse.instance == instance)) {
+        lastResponseOfOther = std::move(lastResponse);
+    }
+    lastResponse = { instance, now };
+}
+
+bool permit_pool::pool_endpoint::respondsToOthers(const network_address &instance, monotonic_time now) const
+{
+    const instance_response &other = lastResponse.instance == instance ? lastResponseOfOther : lastResponse;
+    return other.at && now - *other.at < responseLifetime;
+}
+
 void permit_pool::setEndpoints(const std::vector<listed_endpoint> &endpoints)
 {
     for (auto &[incarnation, endpoint] : m_endpoints) {
@@ -118,7 +134,13 @@
     reply.response.status = result.status;
     reply.load = result.load;
     reply.requestLimit = result.requestLimit;
-    if (!result.finished) {
+    if (hasResponse(reply)) {
+        endpoint.recordResponse(holder.instance, now);
+    }
+    const bool pathOfSenderLost = result.finished && !result.sent && endpoint.respondsToOthers(holder.instance, now);
+    if (pathOfSenderLost) {
+        endpoint.limiter.aborted(time_span::zero(), used.typicalRunTime);
+    } else if (!result.finished) {
         endpoint.limiter.aborted(used.started ? now - *used.started : time_span::zero(), used.typicalRunTime);
     } else if (result.kind == reply_kind::answered) {
         endpoint.limiter.answered(reply, now - used.started.value_or(now), used.typicalRunTime, now);
--- a/libs/permits/permit_pool.h
+++ b/libs/permits/permit_pool.h
@@ -64,7 +64,10 @@
     /** Returns the endpoint of a permit that was granted and not yet returned. */
     std::optional<endpoint_incarnation> grantedEndpoint(const permit_holder &holder) const;
 
-    /** Ends the wait for a permit or the use of one. Unknown holders are ignored. */
+    /**
+     * Ends the wait for a permit or the use of one. Unknown holders are ignored. An attempt that could not be sent counts against the sender's
+     * path, not against the endpoint, while the endpoint responds to other instances.
+     */
     void release(const permit_holder &holder, const permit_result &result, monotonic_time now);
 
     /** Expires overdue entries, and returns the requests that are granted or refused now. */
@@ -95,11 +98,23 @@
         /** Time at which the permit counts as lost. */
         monotonic_time expires{};
     };
+    struct instance_response {
+        network_address instance;
+        std::optional<monotonic_time> at;
+    };
     struct pool_endpoint {
         explicit pool_endpoint(const listed_endpoint &listed);
         endpoint_limiter limiter;
         /** Permits in use, in the order in which they were granted. */
         std::list<permit_holder> used;
+        /** The instance that last reported a response, and when. */
+        instance_response lastResponse;
+        /** The same for the last one of another instance. */
+        instance_response lastResponseOfOther;
+
+        void recordResponse(const network_address &instance, monotonic_time now);
+        /** Returns whether the endpoint recently responded to an instance other than @p instance. */
+        bool respondsToOthers(const network_address &instance, monotonic_time now) const;
     };
 
     /** Throughput of an endpoint with a request limit, by its worker slots of typical speed and by its limit. */
