Take no endpoint for slow because an instance without a path gave up a request

Cause: a permit that is returned without an outcome counted as run since its worker slot was free. Change: not if the sender says that it does not know whether anything reached the endpoint (sent is false), which the message already carries. Measured: request_given_up_without_a_path_does_not_make_the_endpoint_slow failed before and passes.

--- a/libs/gateway/permit_source.h
+++ b/libs/gateway/permit_source.h
@@ -47,6 +47,7 @@
     /** False if nothing was sent, or if the attempt was aborted before its outcome was known. */
     bool finished = false;
     reply_kind kind = reply_kind::failed;
+    /** False if nothing was sent, or if it is unknown whether anything reached the endpoint; the attempt then says nothing about it. */
     bool sent = true;
     bool misdirected = false;
     std::uint32_t status = 0;
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -141,7 +141,8 @@
     if (pathOfSenderLost) {
         endpoint.limiter.aborted(time_span::zero(), used.typicalRunTime);
     } else if (!result.finished) {
-        endpoint.limiter.aborted(used.started ? now - *used.started : time_span::zero(), used.typicalRunTime);
+        const bool ran = result.sent && used.started;
+        endpoint.limiter.aborted(ran ? now - *used.started : time_span::zero(), used.typicalRunTime);
     } else if (result.kind == reply_kind::answered) {
         endpoint.limiter.answered(reply, now - used.started.value_or(now), used.typicalRunTime, now);
     } else {
