--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -67,6 +67,7 @@
     /** Withdraws the request for a permit, or returns the permit. */
     void cancelPermit(unanswered_request &pending, monotonic_time now);
     void returnPermit(unanswered_request &pending, const permit_result &result, monotonic_time now);
+    void setIsolated(bool nowIsolated, monotonic_time now);
     static permit_result permitResult(const endpoint_reply &reply);
 
     // Queues of this instance and sending of requests. Defined in gateway_sending.cpp.
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -118,6 +118,9 @@
     endpoint_port &port;
     gateway_log log;
     permit_source *permits = nullptr;
+    bool isolated = false;
+    /** When the isolation last ended. */
+    std::optional<monotonic_time> isolatedUntil;
     std::uint64_t lastPermit = 0;
     std::optional<planned_stop> stop;
     std::shared_ptr<const request_routes> routes;
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -244,6 +244,11 @@
     d->permitUnavailable(permit, now);
 }
 
+void gateway::setIsolated(bool isolated, monotonic_time now)
+{
+    d->setIsolated(isolated, now);
+}
+
 void gateway::setInstances(std::uint32_t count)
 {
     d->knownInstances = count;
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -90,6 +90,9 @@
     /** Sets the source of permits; requests for which permit_source::isUsed() is true wait for one. Call it before the first submit(). */
     void setPermits(permit_source &source);
 
+    /** Sets whether this instance is isolated. What happens to its attempts says nothing about endpoints then, unless they respond. */
+    void setIsolated(bool isolated, monotonic_time now);
+
     /** Sets a lower bound for the number of instances that share the retry budget. */
     void setInstances(std::uint32_t count);
 
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -174,6 +174,14 @@
     }
 }
 
+void gateway::impl::setIsolated(bool nowIsolated, monotonic_time now)
+{
+    if (isolated && !nowIsolated) {
+        isolatedUntil = now;
+    }
+    isolated = nowIsolated;
+}
+
 permit_result gateway::impl::permitResult(const endpoint_reply &reply)
 {
     return { true, reply.kind, reply.sent, reply.misdirected, reply.response.status, reply.load, reply.requestLimit };
