Report nothing about endpoints from attempts without a path

Change: an attempt that was not sent is no failure in load reports. While an instance is isolated, and for attempts that it sent before the isolation ended, lost attempts are not reported and their permits are returned without an outcome. Responses count as before. The test sets the status of a lost attempt to 0, which the decoder does as well.

--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -69,6 +69,10 @@
     void returnPermit(unanswered_request &pending, const permit_result &result, monotonic_time now);
     void setIsolated(bool nowIsolated, monotonic_time now);
     static permit_result permitResult(const endpoint_reply &reply);
+    /** Returns @p result, or if the path was lost during the attempt, a result that says nothing about the endpoint. */
+    permit_result lostAttemptResult(const unanswered_request &pending, const permit_result &result) const;
+    /** Returns whether this instance was isolated at any time since the request was sent. */
+    bool isPathDoubtful(const unanswered_request &pending) const;
 
     // Queues of this instance and sending of requests. Defined in gateway_sending.cpp.
     void enqueueLocally(unanswered_request &pending, const detail::queue_id &queueId, monotonic_time now);
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -182,6 +182,21 @@
     isolated = nowIsolated;
 }
 
+bool gateway::impl::isPathDoubtful(const unanswered_request &pending) const
+{
+    return isolated || (isolatedUntil && pending.sentAt <= *isolatedUntil);
+}
+
+permit_result gateway::impl::lostAttemptResult(const unanswered_request &pending, const permit_result &result) const
+{
+    if (!isPathDoubtful(pending)) {
+        return result;
+    }
+    permit_result unknown;
+    unknown.sent = false;
+    return unknown;
+}
+
 permit_result gateway::impl::permitResult(const endpoint_reply &reply)
 {
     return { true, reply.kind, reply.sent, reply.misdirected, reply.response.status, reply.load, reply.requestLimit };
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -28,7 +28,7 @@
     unanswered_request &pending = *requests.at(found->second);
     attempts.erase(found);
     const endpoint_incarnation endpoint = pending.endpoint;
-    returnPermit(pending, permitResult(reply), now);
+    returnPermit(pending, hasResponse(reply) ? permitResult(reply) : lostAttemptResult(pending, permitResult(reply)), now);
     const std::optional<request_rate> limitBefore = requestLimitOf(endpoint);
     recordReply(pending, reply, now);
     loadRecorder.recordRequestLimit(pending.service, endpoint.endpoint, requestLimitOf(endpoint));
@@ -49,7 +49,9 @@
         if (tracked != nullptr) {
             tracked->limiter.failed(reply, now);
         }
-        loadRecorder.recordFailure(pending.service, pending.endpoint.endpoint);
+        if (reply.sent && (hasResponse(reply) || !isPathDoubtful(pending))) {
+            loadRecorder.recordFailure(pending.service, pending.endpoint.endpoint);
+        }
         return;
     }
     const time_span typicalRunTime = runTimes.of(pending.route);
@@ -204,7 +206,7 @@
 
 void gateway::impl::abortAttempt(unanswered_request &pending, monotonic_time now)
 {
-    returnPermit(pending, {}, now);
+    returnPermit(pending, lostAttemptResult(pending, {}), now);
     attempts.erase(pending.attempt);
     port.abort(pending.attempt);
     if (detail::tracked_endpoint *tracked = findEndpoint(pending.endpoint)) {
--- a/tests/unit/gateway/isolated_gateway_test.cpp
+++ b/tests/unit/gateway/isolated_gateway_test.cpp
@@ -88,6 +88,7 @@
         endpoint_reply reply;
         reply.kind = sent ? reply_kind::failed : reply_kind::not_run;
         reply.sent = sent;
+        reply.response.status = 0;
         reply.code = sent ? result_code::server_connection_lost : result_code::refused_by_server;
         router.replied(port.sent.at(0), reply, now);
     }
