Let no resignation hide an earlier assigner that may still send

What callers saw: nothing; found by reading. Cause: an assigner that takes over from one that does not confirm that it has stopped has to allow for its grants for 13 s. If it resigned or was replaced within that time, its successor knew of the resigned one only, and could pass on keys of an endpoint that it cannot reach while the first one renewed them. Isolated instances resign more often, so that this matters more. Change: within that time no resignation is written, and a request to stop is answered with no; the successor then waits itself. Measured: resignation_does_not_hide_an_earlier_assigner_that_may_still_send failed before (the request to stop was confirmed) and passes.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -79,6 +79,8 @@
     /** Assigner of the previous epoch. */
     network_address previousAssigner;
     bool previousAssignerStopped = true;
+    /** Until then an earlier assigner may send grants, of which this instance knows as the assigner. */
+    monotonic_time earlierAssignerSendsUntil{};
     monotonic_time nextStopRequest{};
     /** Set while this instance is the assigner. */
     std::unique_ptr<ownership_appender> appender;
@@ -346,6 +348,7 @@
                 previousAssignerStopped = false;
             }
         }
+        earlierAssignerSendsUntil = previousAssignerStopped ? monotonic_time{} : steadyNow() + assigner_settings().unconfirmedLeadershipLimit;
         nextStopRequest = {};
         directoryChanged();
     }
@@ -362,6 +365,7 @@
                 return;
             }
             self->previousAssignerStopped = true;
+            self->earlierAssignerSendsUntil = {};
             logEvent("earlier_assigner_stopped", { { "assigner", self->previousAssigner.value() } });
             for (const auto &[service, assigner] : self->assigners) {
                 assigner->previousAssignerStopped(steadyNow());
@@ -517,6 +521,10 @@
         if (!isLeader()) {
             return;
         }
+        if (steadyNow() < earlierAssignerSendsUntil) {
+            // The successor has to wait for the earlier assigner as well.
+            return;
+        }
         std::vector<ownership_record> resignations;
         for (const auto &[service, assigner] : assigners) {
             resignations.push_back(assigner->resignation());
@@ -604,7 +612,7 @@
     }
     d->highestEpoch = std::max(d->highestEpoch, epoch);
     d->process(leadership_event::fenced);
-    return true;
+    return steadyNow() >= d->earlierAssignerSendsUntil;
 }
 
 bool ownership_runner::isCurrentRelay(bool forRelay) const
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -78,7 +78,7 @@
     /**
      * Stops assigning keys because another instance assigns them with @p epoch.
      *
-     * @return whether this instance is certain to send nothing more with an earlier epoch
+     * @return whether this instance is certain that nothing more is sent with an earlier epoch, by itself or by its predecessors
      */
     bool stopAssigningBefore(std::uint64_t epoch);
 
--- a/tests/unit/ownership_runner/ownership_runner_test.cpp
+++ b/tests/unit/ownership_runner/ownership_runner_test.cpp
@@ -54,3 +54,24 @@
     cr_expect_eq(site.orders(), before);
     cr_expect_not(former->runner.isLeader());
 }
+
+// Guards against two holders of keys: an assigner that has taken over from a lost one resigns, and its successor does not wait for the lost one,
+// which may still renew grants.
+Test(ownership_runner, resignation_does_not_hide_an_earlier_assigner_that_may_still_send)
+{
+    elected_site site({ 1, 1, 1 });
+    electing_instance *lost = site.runUntilAssigned();
+    cr_assert_not_null(lost);
+    std::erase_if(site.instances(), [lost](const auto &each) {
+        return each.get() == lost;
+    });
+    cr_assert(site.runUntilAssignerOtherThan(nullptr, 3s).has_value());
+    site.run(500ms);
+    electing_instance *second = site.assigner();
+    cr_assert_not_null(second);
+    second->runner.leave();
+    site.run(300ms);
+    cr_expect_not(resignationKnown(*second));
+    constexpr std::uint64_t laterEpoch = 1ULL << 40;
+    cr_expect_not(second->runner.stopAssigningBefore(laterEpoch));
+}
