Use endpoints at once after an isolation

What callers saw: not measured by itself. Cause: an instance counted the attempts that it lost while isolated as failures of the endpoints, so that it left them alone for up to 0.8 s and expected waits of up to ten times the usual, and refused requests, after its path had returned. Change: a lost attempt that was in flight while the instance was isolated only ends. Measured: endpoints_are_used_at_once_after_the_isolation failed before and passes.

--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -45,11 +45,17 @@
 {
     detail::tracked_endpoint *tracked = findEndpoint(pending.endpoint);
     const time_span taken = now - pending.sentAt;
+    if (!hasResponse(reply) && isPathDoubtful(pending)) {
+        if (tracked != nullptr) {
+            tracked->limiter.aborted({}, {});
+        }
+        return;
+    }
     if (reply.kind != reply_kind::answered) {
         if (tracked != nullptr) {
             tracked->limiter.failed(reply, now);
         }
-        if (reply.sent && (hasResponse(reply) || !isPathDoubtful(pending))) {
+        if (reply.sent) {
             loadRecorder.recordFailure(pending.service, pending.endpoint.endpoint);
         }
         return;
--- a/tests/unit/gateway/isolated_gateway_test.cpp
+++ b/tests/unit/gateway/isolated_gateway_test.cpp
@@ -13,10 +13,11 @@
 public:
     std::vector<permit_id> asked;
     std::vector<permit_result> returned;
+    bool used = true;
 
     bool isUsed(const permit_request & /*request*/) const override
     {
-        return true;
+        return used;
     }
     void ask(const permit_request &request, monotonic_time /*now*/) override
     {
@@ -60,12 +61,7 @@
         endpoint.entry.service = service_id("s");
         endpoint.entry.zone = availability_zone("z");
         router.setEndpoints({ { endpoint_id("e"), endpoint } }, now);
-        gateway_request message;
-        message.id = request_id("1");
-        message.host = "h";
-        message.path = "/x";
-        request = router.submit(
-            std::move(message), [](const gateway_answer &) {}, now);
+        request = submit("1");
         router.permitGranted(source.asked.at(0), endpoint_id("e"), 1, now);
     }
 
@@ -83,6 +79,16 @@
         return result;
     }
 
+    gateway_request_id submit(const std::string &id)
+    {
+        gateway_request message;
+        message.id = request_id(id);
+        message.host = "h";
+        message.path = "/x";
+        return router.submit(
+            std::move(message), [](const gateway_answer &) {}, now);
+    }
+
     void fail(bool sent)
     {
         endpoint_reply reply;
@@ -148,3 +154,16 @@
     cr_expect_not(fixture.source.returned[0].finished);
     cr_expect_not(fixture.source.returned[0].sent);
 }
+
+// Guards against an instance that sends less than it could after its isolation, because it takes its lost attempts for failures of the endpoints.
+Test(isolated_gateway, endpoints_are_used_at_once_after_the_isolation)
+{
+    request_in_flight fixture;
+    fixture.router.setIsolated(true, fixture.now + 500ms);
+    fixture.now += 600ms;
+    fixture.fail(true);
+    fixture.router.setIsolated(false, fixture.now);
+    fixture.source.used = false;
+    fixture.submit("2");
+    cr_expect_eq(fixture.port.sent.size(), 2U, "the endpoint is blocked");
+}
