Log and count what happens to connections to endpoints

Callers saw an instance that was ready and failed every request, and nothing in its log or metrics said that it reached no endpoint, nor whether connects were refused, timed out, or established connections were silent.

A connection pool can report its events. The instance counts them, and writes one line a second while any connection fails, with the number of endpoints that worked and that failed. No decision depends on them yet.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -70,6 +70,7 @@
     serial_executor executor;
     std::shared_ptr<buffer_budget> budget;
     std::function<void(endpoint_attempt_id, endpoint_reply)> replied;
+    std::function<void(const network_address &, connection_event)> observer;
     std::map<network_address, endpoint_pool> pools;
     std::map<endpoint_incarnation, grant_connection> grantConnections;
     std::map<endpoint_attempt_id, running_attempt> attempts;
@@ -78,7 +79,13 @@
     {
         endpoint_pool &entry = pools[address];
         if (!entry.pool) {
-            entry.pool = std::make_unique<http_connection_pool>(executor, address, poolSettings(budget));
+            connection_pool_settings settings = poolSettings(budget);
+            settings.observe = [this, address](connection_event event) {
+                if (observer) {
+                    observer(address, event);
+                }
+            };
+            entry.pool = std::make_unique<http_connection_pool>(executor, address, std::move(settings));
         }
         entry.used = steadyNow();
         return *entry.pool;
@@ -150,6 +157,11 @@
     d->replied = std::move(handler);
 }
 
+void endpoint_connections::setObserver(std::function<void(const network_address &, connection_event)> observer)
+{
+    d->observer = std::move(observer);
+}
+
 void endpoint_connections::send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft)
 {
     const network_address &address = endpoint.incarnation.address;
--- a/apps/sycamoretrayd/gateway/endpoint_connections.h
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.h
@@ -2,6 +2,7 @@
 
 #include "executor/serial_executor.h"
 #include "gateway/gateway.h"
+#include "http_client/http_connection_pool.h"
 #include "http_message/buffer_budget.h"
 #include "key_ownership/assigner_actions.h"
 
@@ -31,6 +32,9 @@
     /** Sets the handler for the outcomes of requests. Call it before the first send(). */
     void setReplyHandler(std::function<void(endpoint_attempt_id, endpoint_reply)> handler);
 
+    /** Sets a function that is called with each event of a connection. Call it before the first send(). */
+    void setObserver(std::function<void(const network_address &endpoint, connection_event event)> observer);
+
     void send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft) override;
     void abort(endpoint_attempt_id attempt) override;
 
--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -13,6 +13,7 @@
 #include "platform/topics.h"
 #include "sycamoretrayd/daemon_signals.h"
 #include "sycamoretrayd/gateway/component_settings.h"
+#include "sycamoretrayd/gateway/endpoint_connection_log.h"
 #include "sycamoretrayd/gateway/endpoint_connections.h"
 #include "sycamoretrayd/gateway/instance_publisher.h"
 #include "sycamoretrayd/gateway/internal_api.h"
@@ -51,7 +52,7 @@
 // An instance that is not a relay candidate reads all topics directly from the store if its zone has no relay after this time.
 constexpr std::uint32_t relayWaitMilliseconds = 1000;
 constexpr std::uint32_t storeCallLogIntervalMilliseconds = 5000;
-constexpr std::uint32_t limitedLoadLogIntervalMilliseconds = 1000;
+constexpr std::uint32_t loadLogIntervalMilliseconds = 1000;
 
 } // namespace
 
@@ -71,6 +72,7 @@
     topic_relay topicRelay;
     relayed_store relayedStore;
     endpoint_connections endpoints;
+    endpoint_connection_log connectionLog{ metrics };
     gateway router;
     store_feeds feeds;
     assigner_stop_client stopClient;
@@ -219,6 +221,9 @@
         router.replied(attempt, std::move(reply), steadyNow());
         armGatewayTimer();
     });
+    endpoints.setObserver([this](const network_address &endpoint, connection_event event) {
+        connectionLog.record(endpoint, event);
+    });
     router.setPermits(permits.source());
     relayedStore.setRelayTopic(platform::ownershipTopic);
     relayedStore.setReader(settings.internalAddress, settings.processorShare);
@@ -498,8 +503,9 @@
         logStoreCalls();
         return !finished;
     });
-    executor.repeat(limitedLoadLogIntervalMilliseconds, [this] {
+    executor.repeat(loadLogIntervalMilliseconds, [this] {
         logLimitedEndpointLoads();
+        connectionLog.write();
         return !finished;
     });
     executor.repeat(loadReportIntervalMilliseconds, [this] {
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -135,7 +135,7 @@
     if (!m_busy) {
         // Data without a request: it could be mistaken for the next response.
         close();
-        m_pool->closedIdle(*this);
+        m_pool->closedIdle(*this, false);
         return;
     }
     if (!m_received.tryReserve(size)) {
@@ -229,7 +229,7 @@
     }
     if (!m_closed) {
         close();
-        m_pool->closedIdle(*this);
+        m_pool->closedIdle(*this, error != boost::asio::error::eof);
     }
 }
 
--- a/libs/http_client/detail/client_connection.h
+++ b/libs/http_client/detail/client_connection.h
@@ -43,8 +43,8 @@
         virtual void connectFailed(client_connection &connection) = 0;
         /** The exchange has ended. The connection is idle if reusable, otherwise closed. */
         virtual void finished(client_connection &connection, pending_exchange exchange, http_exchange_result result, bool reusable) = 0;
-        /** An idle connection was closed, by the server or because of unexpected data. */
-        virtual void closedIdle(client_connection &connection) = 0;
+        /** An idle connection was closed: by the server or because of unexpected data, or else @p byError. */
+        virtual void closedIdle(client_connection &connection, bool byError) = 0;
     };
 
     client_connection(const strand_type &strand, observer &pool, const connection_pool_settings &settings);
--- a/libs/http_client/http_connection_pool.cpp
+++ b/libs/http_client/http_connection_pool.cpp
@@ -28,12 +28,20 @@
 // Minimum interval between attempts to open spare connections to a server that refuses or closes them.
 constexpr std::chrono::milliseconds spareRetryInterval(100);
 
+connection_event outcomeOf(const http_exchange_result &result)
+{
+    if (result.code == result_code::ok) {
+        return connection_event::answered;
+    }
+    return result.code == result_code::deadline_while_running ? connection_event::unanswered : connection_event::lost;
+}
+
 } // namespace
 
 struct http_connection_pool::impl : client_connection::observer, std::enable_shared_from_this<impl> {
     impl(serial_executor givenExecutor, const network_address &address, connection_pool_settings givenSettings)
         : executor(std::move(givenExecutor))
-        , settings(givenSettings)
+        , settings(std::move(givenSettings))
         , sweepTimer(executor.state().strand)
     {
         addressValid = detail::parseAddress(address, endpoint);
@@ -57,6 +65,13 @@
     std::vector<client_connection *> idle;
     std::deque<pending_exchange> waiting;
 
+    void observe(connection_event event) const
+    {
+        if (settings.observe) {
+            settings.observe(event);
+        }
+    }
+
     std::size_t connectingCount() const
     {
         return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(), [](const auto &connection) {
@@ -198,14 +213,21 @@
 
     void connected(client_connection &connection) override
     {
+        observe(connection_event::opened);
         connection.deadline = steadyNow() + settings.idleTimeout;
         idle.push_back(&connection);
         startWaiting();
     }
 
     void connectFailed(client_connection &connection) override
+    {
+        notOpened(connection, connection_event::refused);
+    }
+
+    void notOpened(client_connection &connection, connection_event event)
     {
         const auto self = shared_from_this();
+        observe(event);
         remove(connection);
         spareRetryAt = steadyNow() + spareRetryInterval;
         // One failed connection fails one request. The others may still get the connections being opened.
@@ -222,6 +244,7 @@
     void finished(client_connection &connection, pending_exchange exchange, http_exchange_result result, bool reusable) override
     {
         const auto self = shared_from_this();
+        observe(outcomeOf(result));
         if (reusable) {
             connection.deadline = steadyNow() + settings.idleTimeout;
             idle.push_back(&connection);
@@ -236,9 +259,12 @@
         exchange.done(std::move(result));
     }
 
-    void closedIdle(client_connection &connection) override
+    void closedIdle(client_connection &connection, bool byError) override
     {
         const auto self = shared_from_this();
+        if (byError) {
+            observe(connection_event::lost);
+        }
         remove(connection);
         spareRetryAt = steadyNow() + spareRetryInterval;
         openNeeded();
@@ -324,7 +350,7 @@
                     return candidate.get() == &connection;
                 })) {
                 connection.close();
-                connectFailed(connection);
+                notOpened(connection, connection_event::connect_timed_out);
             }
         } else if (connection.deadline <= now && idle.size() > settings.spareConnections) {
             connection.close();
@@ -347,7 +373,7 @@
 };
 
 http_connection_pool::http_connection_pool(serial_executor executor, const network_address &address, connection_pool_settings settings)
-    : d(std::make_shared<impl>(std::move(executor), address, settings))
+    : d(std::make_shared<impl>(std::move(executor), address, std::move(settings)))
 {
 }
 
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -15,6 +15,21 @@
 namespace sycamoretray
 {
 
+/** What happened to a connection of a pool. */
+enum class connection_event {
+    opened,
+    /** Could not be opened: the peer or the network refused it. */
+    refused,
+    /** Could not be opened in the connect timeout. */
+    connect_timed_out,
+    /** A complete response arrived. */
+    answered,
+    /** The time of the request ended without a response. */
+    unanswered,
+    /** Ended by an error, with or without a request on it. An idle connection that the peer closes in the regular way does not count. */
+    lost,
+};
+
 struct connection_pool_settings {
     std::uint32_t maxConnections = 100;
     /** Number of idle connections to keep open, so that requests do not wait for a connection to be established. */
@@ -34,6 +49,8 @@
     http_limits limits;
     /** Memory limit shared by the pools of a process; if null, the total size of responses is unlimited. */
     std::shared_ptr<buffer_budget> budget;
+    /** Called with each event, if set. It must not use the pool. */
+    std::function<void(connection_event)> observe;
 };
 
 /** Result of one request. */
