Detect that an instance reaches no endpoint

Callers of such an instance were failed for as long as its path to the endpoints was lost, since nothing in it knew.

The detector suspects isolation when connections fail or no answer arrives for 0.2 s, opens connections to two endpoints, then to six more in different zones and services, and decides when all of them fail. Nothing is sent on these connections. Endpoints that accept a connection refute the suspicion; two end the isolation. Answers on connections that were opened before do not, as those can live on while new ones fail.

Nothing depends on it yet.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -61,31 +61,35 @@
 } // namespace
 
 struct endpoint_connections::impl {
-    impl(serial_executor givenExecutor, std::shared_ptr<buffer_budget> givenBudget)
+    impl(serial_executor givenExecutor, std::shared_ptr<buffer_budget> givenBudget, endpoint_observer givenObserver)
         : executor(std::move(givenExecutor))
         , budget(std::move(givenBudget))
+        , observer(std::move(givenObserver))
     {
     }
 
     serial_executor executor;
     std::shared_ptr<buffer_budget> budget;
     std::function<void(endpoint_attempt_id, endpoint_reply)> replied;
-    std::function<void(const network_address &, connection_event)> observer;
+    endpoint_observer observer;
     std::map<network_address, endpoint_pool> pools;
     std::map<endpoint_incarnation, grant_connection> grantConnections;
     std::map<endpoint_attempt_id, running_attempt> attempts;
 
+    connection_pool_settings observedSettings(const network_address &address)
+    {
+        connection_pool_settings settings = poolSettings(budget);
+        settings.observe = [this, address](connection_event event) {
+            observer.connectionEvent(address, event);
+        };
+        return settings;
+    }
+
     http_connection_pool &poolOf(const network_address &address)
     {
         endpoint_pool &entry = pools[address];
         if (!entry.pool) {
-            connection_pool_settings settings = poolSettings(budget);
-            settings.observe = [this, address](connection_event event) {
-                if (observer) {
-                    observer(address, event);
-                }
-            };
-            entry.pool = std::make_unique<http_connection_pool>(executor, address, std::move(settings));
+            entry.pool = std::make_unique<http_connection_pool>(executor, address, observedSettings(address));
         }
         entry.used = steadyNow();
         return *entry.pool;
@@ -97,9 +101,9 @@
         if (!connection.pool || !connection.pool->isUsable()) {
             // The former pool is kept until the callbacks that it has posted have run.
             executor.post([former = std::move(connection.pool)] {});
-            connection_pool_settings settings = poolSettings(budget);
+            connection_pool_settings settings = observedSettings(endpoint.address);
             settings.singleConnection = true;
-            connection = { std::make_shared<http_connection_pool>(executor, endpoint.address, settings), {}, {} };
+            connection = { std::make_shared<http_connection_pool>(executor, endpoint.address, std::move(settings)), {}, {} };
         }
         return connection;
     }
@@ -145,8 +149,8 @@
     }
 };
 
-endpoint_connections::endpoint_connections(serial_executor executor, std::shared_ptr<buffer_budget> budget)
-    : d(std::make_unique<impl>(std::move(executor), std::move(budget)))
+endpoint_connections::endpoint_connections(serial_executor executor, std::shared_ptr<buffer_budget> budget, endpoint_observer observer)
+    : d(std::make_unique<impl>(std::move(executor), std::move(budget), std::move(observer)))
 {
 }
 
@@ -157,18 +161,14 @@
     d->replied = std::move(handler);
 }
 
-void endpoint_connections::setObserver(std::function<void(const network_address &, connection_event)> observer)
-{
-    d->observer = std::move(observer);
-}
-
 void endpoint_connections::send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft)
 {
     const network_address &address = endpoint.incarnation.address;
     std::string wire = platform::encodeRequest(request, endpoint.incarnation.endpoint, timeLeft);
     const request_id id = request.id;
-    const auto done = [this, attempt, id](http_exchange_result result) {
+    const auto done = [this, attempt, id, address](http_exchange_result result) {
         d->attempts.erase(attempt);
+        d->observer.requestFinished(address);
         d->replied(attempt, platform::decodeReply(std::move(result), id));
     };
     response_matching matching;
@@ -178,6 +178,7 @@
     matching.identity = id.value();
     const std::uint64_t exchange = d->poolOf(address).exchange(std::move(wire), request.message.method == "HEAD", timeLeft, done, std::move(matching));
     d->attempts[attempt] = { address, exchange };
+    d->observer.requestSent(address);
 }
 
 void endpoint_connections::abort(endpoint_attempt_id attempt)
@@ -188,6 +189,7 @@
     }
     const running_attempt running = found->second;
     d->attempts.erase(found);
+    d->observer.requestFinished(running.address);
     d->poolOf(running.address).abort(running.exchange);
 }
 
--- a/apps/sycamoretrayd/gateway/endpoint_connections.h
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.h
@@ -15,6 +15,15 @@
 /** Called with the outcome of an order. */
 using order_callback = std::function<void(order_id order, order_reply reply)>;
 
+/** Functions that are called with what happens at endpoints. They must not use the connections. */
+struct endpoint_observer {
+    std::function<void(const network_address &endpoint, connection_event event)> connectionEvent;
+    /** A caller's request is sent, or waits for a connection. */
+    std::function<void(const network_address &endpoint)> requestSent;
+    /** A caller's request has ended in any way. */
+    std::function<void(const network_address &endpoint)> requestFinished;
+};
+
 /**
  * Connections to endpoints, for callers' requests and for orders: grants and releases of keys, and probes.
  *
@@ -24,7 +33,7 @@
 {
 public:
     /** @param budget  limits the memory of answers that are being received, over all endpoints */
-    endpoint_connections(serial_executor executor, std::shared_ptr<buffer_budget> budget);
+    endpoint_connections(serial_executor executor, std::shared_ptr<buffer_budget> budget, endpoint_observer observer);
     ~endpoint_connections() override;
     endpoint_connections(const endpoint_connections &) = delete;
     endpoint_connections &operator=(const endpoint_connections &) = delete;
@@ -32,9 +41,6 @@
     /** Sets the handler for the outcomes of requests. Call it before the first send(). */
     void setReplyHandler(std::function<void(endpoint_attempt_id, endpoint_reply)> handler);
 
-    /** Sets a function that is called with each event of a connection. Call it before the first send(). */
-    void setObserver(std::function<void(const network_address &endpoint, connection_event event)> observer);
-
     void send(endpoint_attempt_id attempt, const endpoint_entry &endpoint, const gateway_request &request, time_span timeLeft) override;
     void abort(endpoint_attempt_id attempt) override;
 
--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -17,6 +17,7 @@
 #include "sycamoretrayd/gateway/endpoint_connections.h"
 #include "sycamoretrayd/gateway/instance_publisher.h"
 #include "sycamoretrayd/gateway/internal_api.h"
+#include "sycamoretrayd/gateway/isolation_monitor.h"
 #include "sycamoretrayd/gateway/load_report_channel.h"
 #include "sycamoretrayd/gateway/ownership_runner.h"
 #include "sycamoretrayd/gateway/permit_service.h"
@@ -71,8 +72,9 @@
     counting_store store;
     topic_relay topicRelay;
     relayed_store relayedStore;
-    endpoint_connections endpoints;
     endpoint_connection_log connectionLog{ metrics };
+    isolation_monitor isolation;
+    endpoint_connections endpoints;
     gateway router;
     store_feeds feeds;
     assigner_stop_client stopClient;
@@ -114,10 +116,13 @@
     void logLimitedEndpointLoads();
     std::string dump();
     ownership_environment ownershipEnvironment();
+    endpoint_observer endpointObserver();
     feed_observer feedObserver();
     permit_observer permitObserver();
     std::optional<availability_zone> zoneOf(const endpoint_incarnation &incarnation) const;
 
+    void setIsolated(bool isolated);
+
     // --- stop ---
 
     void reload();
@@ -146,7 +151,15 @@
                    [this] {
                        return ownership.isStoreAnswering();
                    })
-    , endpoints(executor, budget)
+    , isolation(
+          executor,
+          [this](const network_address &endpoint, connection_event event) {
+              connectionLog.record(endpoint, event);
+          },
+          [this](bool isolated) {
+              setIsolated(isolated);
+          })
+    , endpoints(executor, budget, endpointObserver())
     , router(gatewaySettings(settings),
              endpoints,
              [](std::string_view event, const auto &fields) {
@@ -221,9 +234,6 @@
         router.replied(attempt, std::move(reply), steadyNow());
         armGatewayTimer();
     });
-    endpoints.setObserver([this](const network_address &endpoint, connection_event event) {
-        connectionLog.record(endpoint, event);
-    });
     router.setPermits(permits.source());
     relayedStore.setRelayTopic(platform::ownershipTopic);
     relayedStore.setReader(settings.internalAddress, settings.processorShare);
@@ -236,6 +246,9 @@
     metrics.gauge("sycamoretray_permits_in_use", [this] {
         return static_cast<double>(permits.inUse());
     });
+    metrics.gauge("sycamoretray_isolated", [this] {
+        return isolation.isIsolated() ? 1 : 0;
+    });
     metrics.gauge("sycamoretray_store_era", [this] {
         return static_cast<double>(feeds.era().value());
     });
@@ -272,11 +285,26 @@
              } };
 }
 
+endpoint_observer gateway_daemon::impl::endpointObserver()
+{
+    return { [this](const network_address &endpoint, connection_event event) {
+                connectionLog.record(endpoint, event);
+                isolation.record(endpoint, event);
+            },
+             [this](const network_address &endpoint) {
+                 isolation.requestSent(endpoint);
+             },
+             [this](const network_address &endpoint) {
+                 isolation.requestFinished(endpoint);
+             } };
+}
+
 feed_observer gateway_daemon::impl::feedObserver()
 {
     feed_observer observer;
     observer.endpointsChanged = [this] {
         permits.setEndpoints(feeds.directory().endpoints());
+        isolation.setEndpoints(feeds.directory().endpoints());
         router.setEndpoints(feeds.directory().endpoints(), steadyNow());
         ownership.directoryChanged();
         armGatewayTimer();
@@ -392,6 +420,10 @@
 
 // --- state ---
 
+void gateway_daemon::impl::setIsolated(bool /*isolated*/)
+{
+}
+
 void gateway_daemon::impl::storeAnswered()
 {
     // If the store did not answer for this time, the connections of waiting reads may be dead as well.
--- /dev/null
+++ b/libs/gateway/endpoint_isolation_detector.cpp
@@ -0,0 +1,239 @@
+#include "gateway/endpoint_isolation_detector.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+// Without any answer for this time, with requests open, the instance may be isolated.
+constexpr time_span silenceLimit = std::chrono::milliseconds(200);
+// A suspicion costs two connections. If neither opens in this time, or both fail, more endpoints are probed.
+constexpr std::size_t firstProbes = 2;
+constexpr std::size_t furtherProbes = 6;
+constexpr time_span firstProbesTime = std::chrono::milliseconds(100);
+// Endpoints that have to fail, unless fewer are registered.
+constexpr std::size_t failedEndpointsNeeded = 6;
+constexpr std::size_t probesWhileIsolated = 4;
+constexpr time_span isolatedProbeInterval = std::chrono::milliseconds(250);
+// Endpoints that have to accept a connection, at about the same time, for the end of the isolation.
+constexpr std::size_t connectedEndpointsNeeded = 2;
+constexpr time_span connectedWindow = std::chrono::seconds(1);
+// Time without suspicion after one was refuted; doubled once if there was still no answer, for instances with few and long requests.
+constexpr time_span shortPause = std::chrono::milliseconds(500);
+constexpr time_span longPause = std::chrono::seconds(1);
+
+} // namespace
+
+void endpoint_isolation_detector::setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now)
+{
+    std::map<network_address, candidate> candidates;
+    for (const auto &[id, endpoint] : endpoints) {
+        const network_address &address = endpoint.entry.incarnation.address;
+        candidate &each = candidates[address];
+        if (const auto known = m_candidates.find(address); known != m_candidates.end()) {
+            each = known->second;
+        }
+        each.service = endpoint.entry.service;
+        each.zone = endpoint.entry.zone;
+    }
+    m_candidates = std::move(candidates);
+    std::erase_if(m_failed, [this](const network_address &address) {
+        return !m_candidates.contains(address);
+    });
+    if (m_candidates.empty()) {
+        refute(now);
+    }
+}
+
+void endpoint_isolation_detector::sent(const network_address &endpoint, monotonic_time now)
+{
+    open_requests &open = m_open[endpoint];
+    if (open.count++ == 0) {
+        open.silentSince = now;
+    }
+}
+
+void endpoint_isolation_detector::answered(const network_address &endpoint, monotonic_time now)
+{
+    m_answeredAt = now;
+    m_pause = shortPause;
+    if (const auto found = m_candidates.find(endpoint); found != m_candidates.end()) {
+        found->second.answeredAt = now;
+    }
+    if (const auto open = m_open.find(endpoint); open != m_open.end()) {
+        open->second.silentSince = now;
+    }
+}
+
+void endpoint_isolation_detector::finished(const network_address &endpoint)
+{
+    const auto found = m_open.find(endpoint);
+    if (found != m_open.end() && --found->second.count == 0) {
+        m_open.erase(found);
+    }
+}
+
+void endpoint_isolation_detector::connected(const network_address &endpoint, monotonic_time now)
+{
+    m_probing.erase(endpoint);
+    m_failed.erase(endpoint);
+    if (!m_isolatedSince) {
+        if (m_suspicious) {
+            refute(now);
+        }
+        return;
+    }
+    m_connected[endpoint] = now;
+    std::erase_if(m_connected, [now](const auto &item) {
+        return now - item.second > connectedWindow;
+    });
+    if (m_connected.size() >= std::min(connectedEndpointsNeeded, m_candidates.size())) {
+        refute(now);
+    }
+}
+
+void endpoint_isolation_detector::failed(const network_address &endpoint, monotonic_time now)
+{
+    m_probing.erase(endpoint);
+    m_connected.erase(endpoint);
+    if (!isSuspicious()) {
+        m_failureSeen = true;
+        if (now < m_noSuspicionUntil) {
+            return;
+        }
+        suspect(now);
+    }
+    if (m_candidates.contains(endpoint)) {
+        m_failed.insert(endpoint);
+    }
+}
+
+void endpoint_isolation_detector::suspect(monotonic_time now)
+{
+    m_suspicious = !m_candidates.empty();
+    m_failureSeen = false;
+    m_rounds = 0;
+    m_failed.clear();
+    m_probing.clear();
+    m_nextProbesAt = m_suspicious ? now : monotonic_time::max();
+}
+
+void endpoint_isolation_detector::refute(monotonic_time now)
+{
+    m_suspicious = false;
+    m_isolatedSince.reset();
+    m_failureSeen = false;
+    m_failed.clear();
+    m_probing.clear();
+    m_connected.clear();
+    m_nextProbesAt = monotonic_time::max();
+    m_noSuspicionUntil = now + std::max(m_pause, shortPause);
+    m_pause = longPause;
+}
+
+bool endpoint_isolation_detector::isProven() const
+{
+    if (!m_probing.empty() || m_failed.size() < std::min(failedEndpointsNeeded, m_candidates.size())) {
+        return false;
+    }
+    std::set<availability_zone> all;
+    std::set<availability_zone> failedZones;
+    for (const auto &[address, each] : m_candidates) {
+        all.insert(each.zone);
+        if (m_failed.contains(address)) {
+            failedZones.insert(each.zone);
+        }
+    }
+    return failedZones.size() >= std::min<std::size_t>(2, all.size());
+}
+
+std::vector<network_address> endpoint_isolation_detector::advance(monotonic_time now)
+{
+    if (!isSuspicious()) {
+        const bool failure = m_failureSeen && now >= m_noSuspicionUntil;
+        if (!failure && now < silenceDue()) {
+            return {};
+        }
+        suspect(now);
+    }
+    if (m_isolatedSince) {
+        if (now < m_nextProbesAt) {
+            return {};
+        }
+        m_nextProbesAt = now + isolatedProbeInterval;
+        return startProbes(probesWhileIsolated, now);
+    }
+    if (isProven()) {
+        m_isolatedSince = now;
+        m_nextProbesAt = now + isolatedProbeInterval;
+        return {};
+    }
+    if (now < m_nextProbesAt && !m_probing.empty()) {
+        return {};
+    }
+    const bool first = m_rounds++ == 0;
+    m_nextProbesAt = first ? now + firstProbesTime : monotonic_time::max();
+    return startProbes(first ? firstProbes : furtherProbes, now);
+}
+
+std::vector<network_address> endpoint_isolation_detector::startProbes(std::size_t count, monotonic_time now)
+{
+    std::vector<network_address> result;
+    std::map<service_id, std::size_t> services;
+    std::map<availability_zone, std::size_t> zones;
+    while (result.size() < count) {
+        std::optional<std::tuple<bool, std::size_t, time_span>> bestRank;
+        const network_address *best = nullptr;
+        for (const auto &[address, each] : m_candidates) {
+            if (m_probing.contains(address)) {
+                continue;
+            }
+            // Endpoints that answered last are most likely to be in order. While isolated, all get their turn.
+            const time_span age = m_isolatedSince ? each.probedAt - monotonic_time{} : now - each.answeredAt;
+            const std::tuple rank(m_failed.contains(address), services[each.service] + zones[each.zone], age);
+            if (!bestRank || rank < *bestRank) {
+                bestRank = rank;
+                best = &address;
+            }
+        }
+        if (best == nullptr) {
+            break;
+        }
+        candidate &chosen = m_candidates.at(*best);
+        chosen.probedAt = now;
+        ++services[chosen.service];
+        ++zones[chosen.zone];
+        m_probing.insert(*best);
+        result.push_back(*best);
+    }
+    return result;
+}
+
+monotonic_time endpoint_isolation_detector::silenceDue() const
+{
+    monotonic_time oldest = monotonic_time::max();
+    for (const auto &[address, open] : m_open) {
+        oldest = std::min(oldest, open.silentSince);
+    }
+    if (oldest == monotonic_time::max()) {
+        return oldest;
+    }
+    return std::max(std::max(oldest, m_answeredAt) + silenceLimit, m_noSuspicionUntil);
+}
+
+monotonic_time endpoint_isolation_detector::nextDue() const
+{
+    if (m_isolatedSince) {
+        return m_nextProbesAt;
+    }
+    if (m_suspicious) {
+        return m_probing.empty() ? monotonic_time::min() : m_nextProbesAt;
+    }
+    return m_failureSeen ? m_noSuspicionUntil : silenceDue();
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/libs/gateway/endpoint_isolation_detector.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/monotonic_time.h"
+#include "directory/endpoint_directory.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace sycamoretray
+{
+
+/**
+ * Decides whether this instance is isolated: it reaches no endpoint, although it runs and others may reach it.
+ *
+ * Failures and missing answers only raise a suspicion, as endpoints crash, are slow and get no traffic. While suspicious, the detector
+ * asks for probes, which open a connection and close it. It decides on isolation when all probes and requests since then failed at
+ * several endpoints in different availability zones and services, and on the end of it when endpoints accept connections again.
+ * Answers on connections that were opened before do not count, because new connections can fail while those live on.
+ *
+ * Performs no I/O: events and time are passed in. Thread safety: none.
+ */
+class endpoint_isolation_detector
+{
+public:
+    /** Sets the endpoints that can be probed. Without endpoints, the instance is not isolated. */
+    void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now);
+
+    /** A request was sent, or waits for a connection. */
+    void sent(const network_address &endpoint, monotonic_time now);
+    /** A request that was sent has ended in any way. */
+    void finished(const network_address &endpoint);
+    /** A response to a request, an order or a health check arrived. */
+    void answered(const network_address &endpoint, monotonic_time now);
+    /** A connection was opened, for a request or a probe. */
+    void connected(const network_address &endpoint, monotonic_time now);
+    /** A connection could not be opened, for a request or a probe, or was lost. */
+    void failed(const network_address &endpoint, monotonic_time now);
+
+    /** Processes what is due and returns the endpoints to probe. Reports connected() or failed() for each within 250 ms. */
+    std::vector<network_address> advance(monotonic_time now);
+
+    /** Time of the next call to advance(), which may be in the past; the maximum if nothing is due. */
+    monotonic_time nextDue() const;
+
+    /** When the isolation was detected; no value if not isolated. */
+    std::optional<monotonic_time> isolatedSince() const noexcept
+    {
+        return m_isolatedSince;
+    }
+
+    /** True from a suspicion until it is refuted, and while isolated. */
+    bool isSuspicious() const noexcept
+    {
+        return m_suspicious || m_isolatedSince;
+    }
+
+    /** Number of endpoints that failed since the suspicion arose. */
+    std::size_t failedEndpoints() const noexcept
+    {
+        return m_failed.size();
+    }
+
+private:
+    struct candidate {
+        service_id service;
+        availability_zone zone;
+        monotonic_time probedAt{};
+        monotonic_time answeredAt{};
+    };
+    struct open_requests {
+        std::size_t count = 0;
+        /** When the endpoint last answered or the first of the requests was sent, whichever is later. */
+        monotonic_time silentSince{};
+    };
+
+    monotonic_time silenceDue() const;
+    void suspect(monotonic_time now);
+    void refute(monotonic_time now);
+    bool isProven() const;
+    std::vector<network_address> startProbes(std::size_t count, monotonic_time now);
+
+    std::map<network_address, candidate> m_candidates;
+    std::map<network_address, open_requests> m_open;
+    std::set<network_address> m_failed;
+    std::set<network_address> m_probing;
+    /** Endpoints that accepted a connection while isolated, with the time. */
+    std::map<network_address, monotonic_time> m_connected;
+    monotonic_time m_answeredAt{};
+    monotonic_time m_noSuspicionUntil{};
+    time_span m_pause{};
+    monotonic_time m_nextProbesAt = monotonic_time::max();
+    std::optional<monotonic_time> m_isolatedSince;
+    /** Number of times that probes were started for the present suspicion. */
+    std::size_t m_rounds = 0;
+    bool m_failureSeen = false;
+    bool m_suspicious = false;
+};
+
+} // namespace sycamoretray
--- a/tests/unit/ownership_runner/elected_site.cpp
+++ b/tests/unit/ownership_runner/elected_site.cpp
@@ -17,11 +17,13 @@
 
 constexpr std::size_t endpointCount = 4;
 
-std::string configuration()
+std::string configuration(std::uint64_t version, bool dividedByKey)
 {
-    return R"({"Version":1,"Routes":{"Columns":["Name","Hostname","PathPrefix","RouteType","TimeoutMs","TargetLatencyMs","Priority","TrafficSplit","MaxAttempts","Service"],
+    return R"({"Version":)" + std::to_string(version)
+        + R"(,"Routes":{"Columns":["Name","Hostname","PathPrefix","RouteType","TimeoutMs","TargetLatencyMs","Priority","TrafficSplit","MaxAttempts","Service"],
 "Rows":[["r","h","/","safe",1200,600,2,null,2,"s"]]},"Services":{"Columns":["Name","HealthCheckPath","MaxConnections","Protocol","Tls","Sharded","WarmupS",
-"Grants"],"Rows":[["s","/health",110,"h1",false,true,null,null]]},"Limits":{"MaxHeaderBytes":16384}})";
+"Grants"],"Rows":[["s","/health",110,"h1",false,)"
+        + (dividedByKey ? "true" : "false") + R"(,null,null]]},"Limits":{"MaxHeaderBytes":16384}})";
 }
 
 ownership_environment environmentOf(elected_site &site, electing_instance &instance)
@@ -46,6 +48,13 @@
     return environment;
 }
 
+endpoint_observer ignoreEvents()
+{
+    return { [](const network_address & /*endpoint*/, connection_event /*event*/) {},
+             [](const network_address & /*endpoint*/) {},
+             [](const network_address & /*endpoint*/) {} };
+}
+
 } // namespace
 
 electing_instance::electing_instance(elected_site &site, const std::string &zoneName, const std::string &name, double processorShare)
@@ -55,7 +64,7 @@
             })
     , address("10.0.0.1:" + std::to_string(site.instances().size() + 1))
     , zone(zoneName)
-    , endpoints(site.executor(), nullptr)
+    , endpoints(site.executor(), nullptr, ignoreEvents())
     , feeds(site.store(),
             relay,
             site.executor(),
@@ -78,7 +87,7 @@
 
 elected_site::elected_site(const std::vector<std::size_t> &zones, double processorShare)
 {
-    m_store.put("keyed.op", "config", configuration());
+    setDividedByKey(true);
     m_endpoints.resize(endpointCount);
     for (std::size_t i = 0; i < endpointCount; ++i) {
         addEndpoint(i);
@@ -91,6 +100,11 @@
     }
 }
 
+void elected_site::setDividedByKey(bool dividedByKey)
+{
+    m_store.put("keyed.op", "config", configuration(++m_configuration, dividedByKey));
+}
+
 void elected_site::addEndpoint(std::size_t index)
 {
     http_server_settings settings;
