Test instances that reach no endpoint

Callers of an instance that had lost its path to all endpoints were failed until the path came back, also while other instances had one.

Each instance of the test gets a view of the store that names TCP proxies in place of the endpoints, so that its path can be cut alone: in silence, with resets, or for new connections only. The test also covers most instances being cut, planned stops of either side, and that each served request ran exactly once. The assigner is not cut.

--- /dev/null
+++ b/tests/integration/isolated_instance_test.py
@@ -0,0 +1,148 @@
+"""Instances that reach no endpoint, while callers, the store and the other instances reach them."""
+import os
+import signal
+import tempfile
+import threading
+import time
+import unittest
+
+from endpoint_paths import StoreView
+from gateway_test import ROUTES, SERVICES, Gateway
+from platform_standin import Endpoint, StoreServer, configuration
+from processes import free_address, wait_until
+
+# From this time after the beginning of a cut, an isolated instance has to serve its callers.
+SETTLE_SECONDS = 3
+
+
+class IsolatedInstanceTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = tempfile.mkdtemp()
+        self.store_server = StoreServer(free_address())
+        self.store = self.store_server.store
+        self.store.put("keyed.op", "config", configuration(3, ROUTES, SERVICES))
+        self.endpoints = [Endpoint(self.store, f"desk-{i}", "desk", free_address(), zone=f"z{i + 1}") for i in range(3)]
+        self.endpoints += [Endpoint(self.store, f"ledger-{i}", "ledger", free_address(), zone=f"z{i + 1}", divided=False) for i in range(2)]
+        # Each instance is the only one of its zone and thus reads the store itself, as its view shows it.
+        names = ("i1", "i2", "i3")
+        self.views = {name: StoreView(free_address(), self.store, self.endpoints) for name in names}
+        self.gateways = {name: Gateway(self.directory, name, f"z{i + 1}", self.views[name]) for i, name in enumerate(names)}
+        for gateway in self.gateways.values():
+            wait_until("readiness", gateway.ready, 10)
+        wait_until("service", lambda: all(self.serves(gateway) for gateway in self.gateways.values()), 10)
+        wait_until("an assigner", self.assigner, 5)
+        # The assigner itself is not cut here: what then becomes of the keys is not the subject of this test.
+        self.others = [name for name in names if name != self.assigner()]
+
+    def tearDown(self):
+        for gateway in self.gateways.values():
+            if gateway.process.running():
+                os.kill(gateway.process.child.pid, signal.SIGKILL)
+                gateway.process.child.wait(5)
+        for listener in self.endpoints + [self.store_server] + list(self.views.values()):
+            listener.close()
+
+    def assigner(self):
+        return next((name for name, gateway in self.gateways.items() if gateway.state()["ownership"]["leads"]), None)
+
+    @staticmethod
+    def serves(gateway):
+        return all(gateway.call("/look/", key=key)[0] == 200 for key in (0, 30000, 65535))
+
+    def call_all_kinds(self, gateway, count):
+        """Makes requests of each kind and returns the answers of those that were not served, and the attempt ids of the others."""
+        failed, served = [], []
+        for i in range(count):
+            prefix, method = (("/look/", "GET"), ("/book/", "POST"), ("/credit/", "POST"))[i % 3]
+            status, _, text, attempt = gateway.call(prefix, method, key=i * 523 % 65536, body=b"1" if method == "POST" else None)
+            if status == 200:
+                served.append(attempt)
+            else:
+                failed.append((status, text))
+        return failed, served
+
+    def assert_served(self, name, count=60):
+        failed, served = self.call_all_kinds(self.gateways[name], count)
+        self.assertLessEqual(len(failed), count / 50, (name, failed))
+        runs = [run[0] for endpoint in self.endpoints for run in endpoint.runs]
+        self.assertEqual([attempt for attempt in served if runs.count(attempt) != 1], [], "not run exactly once")
+
+    def cut_and_check(self, names, how):
+        for name in names:
+            self.views[name].cut(how)
+        started = time.monotonic()
+        # Requests show the cut to the instance; what becomes of them until it has settled is not checked.
+        while time.monotonic() - started < SETTLE_SECONDS:
+            for name in names:
+                try:
+                    self.gateways[name].call("/look/", key=7)
+                except OSError:
+                    pass
+        for name in self.gateways:
+            self.assert_served(name)
+
+    def test_silence(self):
+        """Guards against an instance that fails its callers while nothing passes between it and the endpoints."""
+        self.cut_and_check(self.others[:1], "silent")
+
+    def test_reset_connections(self):
+        """Guards against an instance that fails its callers while endpoints reset and refuse its connections."""
+        self.cut_and_check(self.others[:1], "reset")
+
+    def test_new_connections_are_refused(self):
+        """Guards against an instance that fails requests which need a new connection while those that it has live on."""
+        self.cut_and_check(self.others[:1], "refused")
+
+    def test_most_instances_are_cut(self):
+        """Guards against isolated instances that pass requests on to each other only, or back and forth."""
+        self.cut_and_check(self.others, "silent")
+        for name in self.others:
+            self.views[name].restore()
+        for name in self.others:
+            wait_until("end of the isolation", lambda name=name: "instance_reaches_endpoints" in self.gateways[name].process.log(), 2)
+        forwards = [self.gateways[name].process.log().count("event=request_forwarded") for name in self.others]
+        for name in self.gateways:
+            self.assert_served(name)
+        self.assertEqual(forwards, [self.gateways[name].process.log().count("event=request_forwarded") for name in self.others])
+
+    def test_stop_while_isolated(self):
+        """Guards against an isolated instance that loses requests in a planned stop."""
+        stopping = self.others[0]
+        self.cut_and_check([stopping], "silent")
+        gateway = self.gateways[stopping]
+        os.kill(gateway.process.child.pid, signal.SIGTERM)
+        end = time.monotonic() + 1.5
+        while time.monotonic() < end:
+            self.assertEqual(gateway.call("/book/", "POST", body=b"1")[0], 200)
+        wait_until("end of the process", lambda: not gateway.process.running(), 7)
+        self.assertEqual(gateway.process.child.returncode, 0)
+
+    def test_lost_and_stopping_peers(self):
+        """Guards against requests that are lost, or run twice, when the instance to which they were forwarded stops."""
+        isolated, peer = self.others
+        self.cut_and_check([isolated], "silent")
+        statuses = []
+        running = True
+
+        def call_repeatedly():
+            while running:
+                status, _, _, attempt = self.gateways[isolated].call("/book/", "POST", key=len(statuses) * 523 % 65536, body=b"1")
+                statuses.append((status, attempt))
+
+        callers = [threading.Thread(target=call_repeatedly) for _ in range(3)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        os.kill(self.gateways[peer].process.child.pid, signal.SIGTERM)
+        wait_until("end of the process", lambda: not self.gateways[peer].process.running(), 7)
+        running = False
+        for caller in callers:
+            caller.join()
+        self.assertGreater(len(statuses), 100)
+        self.assertEqual([status for status, _ in statuses if status != 200], [])
+        runs = [run[0] for endpoint in self.endpoints for run in endpoint.runs]
+        self.assertEqual([attempt for _, attempt in statuses if runs.count(attempt) != 1], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/integration/platform_standin.py
+++ b/tests/integration/platform_standin.py
@@ -98,7 +98,7 @@
         self.changed.notify_all()
         return 200, reply
 
-    def read(self, query):
+    def read(self, query, view):
         topic = self.topic(query["Topic"])
         start = int(query["From"])
         deadline = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
@@ -109,13 +109,14 @@
             return 410, {"First": topic.first_offset}
         content = struct.pack(">QQ", topic.end_offset, topic.first_offset)
         for key, value in topic.records[start - topic.first_offset:]:
-            record = bytes([len(key)]) + key.encode() + value
+            record = bytes([len(key)]) + key.encode() + view(query["Topic"], value)
             content += struct.pack(">I", len(record)) + record
         return 200, content
 
-    def list(self, query):
+    def list(self, query, view):
         topic = self.topic(query["Topic"])
-        items = [{"Key": key, "Value": base64.b64encode(value).decode(), "Offset": offset} for key, (value, offset) in sorted(topic.latest.items())]
+        items = [{"Key": key, "Value": base64.b64encode(view(query["Topic"], value)).decode(), "Offset": offset}
+                 for key, (value, offset) in sorted(topic.latest.items())]
         return 200, {"items": items, "More": False, "End": topic.end_offset}
 
     def join(self, body):
@@ -206,10 +207,14 @@
 
 
 class StoreServer(Listener):
-    def __init__(self, address):
-        self.store = Store()
+    def __init__(self, address, store=None):
+        self.store = store or Store()
         super().__init__(address)
 
+    def view(self, topic, value):
+        """Returns a value as readers get it."""
+        return value
+
     def handle(self, request, method):
         target = urllib.parse.urlsplit(request.path)
         query = dict(urllib.parse.parse_qsl(target.query))
@@ -228,9 +233,9 @@
                     request.close_connection = True
                     return
             elif name == "log-read":
-                status, reply = store.read(query)
+                status, reply = store.read(query, self.view)
             elif name == "log-newest":
-                status, reply = store.list(query)
+                status, reply = store.list(query, self.view)
             elif name == "log-join":
                 status, reply = store.join(json.loads(body))
             else:
