Forward requests while an instance reaches no endpoint

Callers of an instance without a path to endpoints were served 0 of 2381 first tries, although other instances reached all endpoints.

An isolated instance now sends requests that no endpoint has got to another instance, over HTTP at its internal address: to one of its own zone first, by weight and outstanding requests, not to one that was isolated, stopping or lost a moment ago. The other instance runs the request as its own caller's, with its routes, queues, permits and retry budget, and never forwards it. A request that may have run is repeated only if it is idempotent and within MaxAttempts and the retry budget; otherwise its outcome is unknown (502, peer_lost). If no instance takes a request, it is refused at once (503, instance_isolated). Load reports of an isolated instance are dropped, since the failures are not the endpoints'.

--- a/apps/sycamoretrayd/gateway/component_settings.cpp
+++ b/apps/sycamoretrayd/gateway/component_settings.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t reservedDescriptors = 700;
 // Messages being received get one fourth of the memory; answers to callers and the state of the site take the rest.
 constexpr std::uint64_t messageMemoryDivisor = 4;
+constexpr std::uint64_t maxRequestBodyBytes = 64ULL * 1024 * 1024;
 
 std::uint64_t randomPermitIdBase()
 {
@@ -40,8 +41,24 @@
     result.budget = budget;
     result.address = settings.callerAddress;
     result.maxConnections = std::max(reservedDescriptors, settings.descriptors) - reservedDescriptors + 1;
-    constexpr std::uint64_t bodyBytes = 64ULL * 1024 * 1024;
-    result.limits.bodyBytes = bodyBytes;
+    result.limits.bodyBytes = maxRequestBodyBytes;
+    return result;
+}
+
+http_server_settings internalServerSettings(const gateway_daemon_settings &settings, const std::shared_ptr<buffer_budget> &budget)
+{
+    http_server_settings result;
+    result.address = settings.internalAddress;
+    result.budget = budget;
+    // A connection beyond the limit is closed after the other instance has sent its request on it, so that its outcome is unknown there.
+    constexpr std::uint32_t maxInternalConnections = 1024;
+    result.maxConnections = maxInternalConnections;
+    result.limits.bodyBytes = maxRequestBodyBytes;
+    // Fields that are added to the caller's.
+    constexpr std::uint32_t addedHeaderBytes = 1024;
+    constexpr std::uint32_t addedFields = 8;
+    result.limits.headerBytes += addedHeaderBytes;
+    result.limits.fields += addedFields;
     return result;
 }
 
--- a/apps/sycamoretrayd/gateway/component_settings.h
+++ b/apps/sycamoretrayd/gateway/component_settings.h
@@ -20,6 +20,9 @@
 /** Returns the settings of the server for callers. Thread-safe. */
 http_server_settings callerServerSettings(const gateway_daemon_settings &settings, const std::shared_ptr<buffer_budget> &budget);
 
+/** Returns the settings of the server for other instances, which takes the requests that they forward. Thread-safe. */
+http_server_settings internalServerSettings(const gateway_daemon_settings &settings, const std::shared_ptr<buffer_budget> &budget);
+
 /** Returns the settings of the server for the load balancer's readiness checks. Thread-safe. */
 http_server_settings readinessServerSettings(const gateway_daemon_settings &settings);
 
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.cpp
@@ -0,0 +1,112 @@
+#include "sycamoretrayd/gateway/forwarding_codec.h"
+
+#include "platform/request_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace sycamoretray
+{
+
+namespace
+{
+
+// Marks a forwarded request; the value is the number of endpoints that may have run it.
+constexpr std::string_view attemptsField = "Sycamoretray-Forwarded-Attempts";
+// Marks an answer that the instance generated itself; the value is its result code.
+constexpr std::string_view resultField = "Sycamoretray-Forward-Result";
+
+/** Removes the fields named @p name and returns the number in the last one. Earlier ones may be the caller's. */
+std::optional<std::uint32_t> takeNumber(http_fields &fields, std::string_view name)
+{
+    std::optional<std::uint32_t> number;
+    for (const http_field &field : fields) {
+        if (equalFieldNames(field.name, name)) {
+            std::uint32_t value = 0;
+            const char *end = field.value.data() + field.value.size();
+            const auto parsed = std::from_chars(field.value.data(), end, value);
+            number = parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value) : std::nullopt;
+        }
+    }
+    std::erase_if(fields, [name](const http_field &field) {
+        return equalFieldNames(field.name, name);
+    });
+    return number;
+}
+
+/** Outcome for the instance if @p code says that another one should be asked. */
+std::optional<peer_outcome> refusalToTake(result_code code)
+{
+    switch (code) {
+    case result_code::instance_isolated:
+    case result_code::configuration_stale:
+        return peer_outcome::isolated;
+    case result_code::instance_stopping:
+        return peer_outcome::stopping;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encodeForward(const gateway_request &request, std::uint32_t attempts, time_span timeLeft)
+{
+    return platform::encodeForward(request, timeLeft, { std::string(attemptsField), std::to_string(attempts) });
+}
+
+bool isForward(const http_request &request)
+{
+    return findField(request.fields, attemptsField) != nullptr;
+}
+
+std::variant<gateway_request, result_code> decodeForward(http_request request)
+{
+    const std::optional<std::uint32_t> attempts = takeNumber(request.fields, attemptsField);
+    if (!attempts) {
+        return result_code::malformed_request;
+    }
+    auto decoded = platform::decodeRequest(std::move(request));
+    if (auto *forwarded = std::get_if<gateway_request>(&decoded)) {
+        forwarded->forwardedAttempts = attempts;
+    }
+    return decoded;
+}
+
+http_response encodeForwardAnswer(gateway_answer answer, const request_id &id)
+{
+    const std::optional<result_code> generated = answer.response ? std::nullopt : std::optional(answer.code);
+    http_response response = platform::encodeAnswer(std::move(answer), id);
+    std::erase_if(response.fields, [](const http_field &field) {
+        return equalFieldNames(field.name, resultField);
+    });
+    if (generated) {
+        response.fields.push_back({ std::string(resultField), std::to_string(static_cast<int>(*generated)) });
+    }
+    return response;
+}
+
+decoded_forward_reply decodeForwardAnswer(http_exchange_result result)
+{
+    if (!result.sent) {
+        return { forward_not_taken{}, peer_outcome::unreachable };
+    }
+    if (result.code != result_code::ok) {
+        const bool timedOut = result.code == result_code::deadline_while_running;
+        return { forward_lost{}, timedOut ? peer_outcome::unknown : peer_outcome::unreachable };
+    }
+    forward_answered answered{ std::move(result.response), false };
+    if (const auto number = takeNumber(answered.response.fields, resultField)) {
+        const auto code = static_cast<result_code>(*number);
+        if (const auto refusal = refusalToTake(code)) {
+            return { forward_not_taken{}, *refusal };
+        }
+        answered.refused = outcomeClass(code) == request_outcome_class::not_run;
+    }
+    return { std::move(answered), peer_outcome::answered };
+}
+
+} // namespace sycamoretray
--- /dev/null
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "gateway/forwarding_port.h"
+#include "gateway/gateway_request.h"
+#include "gateway/peer_chooser.h"
+#include "http_client/http_connection_pool.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace sycamoretray
+{
+
+/** What the exchange with another instance means for the request and for the instance. */
+struct decoded_forward_reply {
+    forward_reply reply;
+    peer_outcome peer = peer_outcome::unknown;
+};
+
+/** Encodes @p request for another instance: the caller's request and one field that marks it. Thread-safe. */
+std::string encodeForward(const gateway_request &request, std::uint32_t attempts, time_span timeLeft);
+
+/** Returns whether another instance forwarded @p request. Thread-safe. */
+bool isForward(const http_request &request);
+
+/** Decodes a forwarded request. Returns the reason for the rejection if it is not valid. Thread-safe. */
+std::variant<gateway_request, result_code> decodeForward(http_request request);
+
+/** Encodes the response to the instance that forwarded the request @p id. Thread-safe. */
+http_response encodeForwardAnswer(gateway_answer answer, const request_id &id);
+
+/** Maps the result of an exchange with another instance. Thread-safe. */
+decoded_forward_reply decodeForwardAnswer(http_exchange_result result);
+
+} // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -15,6 +15,7 @@
 #include "sycamoretrayd/gateway/component_settings.h"
 #include "sycamoretrayd/gateway/endpoint_connection_log.h"
 #include "sycamoretrayd/gateway/endpoint_connections.h"
+#include "sycamoretrayd/gateway/forwarding_codec.h"
 #include "sycamoretrayd/gateway/instance_publisher.h"
 #include "sycamoretrayd/gateway/internal_api.h"
 #include "sycamoretrayd/gateway/isolation_monitor.h"
@@ -22,6 +23,7 @@
 #include "sycamoretrayd/gateway/ownership_runner.h"
 #include "sycamoretrayd/gateway/permit_service.h"
 #include "sycamoretrayd/gateway/relayed_store.h"
+#include "sycamoretrayd/gateway/request_forwarder.h"
 #include "sycamoretrayd/gateway/store_feeds.h"
 #include "sycamoretrayd/gateway/topic_relay.h"
 #include "sycamoretrayd/gateway/upstream_relay.h"
@@ -55,6 +57,8 @@
 constexpr std::uint32_t storeCallLogIntervalMilliseconds = 5000;
 constexpr std::uint32_t loadLogIntervalMilliseconds = 1000;
 
+using answer_encoder = http_response (*)(gateway_answer answer, const request_id &id);
+
 } // namespace
 
 struct gateway_daemon::impl {
@@ -75,6 +79,7 @@
     endpoint_connection_log connectionLog{ metrics };
     isolation_monitor isolation;
     endpoint_connections endpoints;
+    request_forwarder forwarder;
     gateway router;
     store_feeds feeds;
     assigner_stop_client stopClient;
@@ -101,8 +106,10 @@
     // --- callers ---
 
     void receive(http_request request, std::shared_ptr<answer_handle> handle);
-    void submit(gateway_request request, const std::shared_ptr<answer_handle> &handle);
-    void sendAnswer(const std::shared_ptr<answer_handle> &handle, gateway_answer answer, const request_id &id, monotonic_time arrived);
+    /** Receives a request that another instance forwarded. */
+    void receiveForward(http_request request, std::shared_ptr<answer_handle> handle);
+    void submit(gateway_request request, const std::shared_ptr<answer_handle> &handle, answer_encoder encode);
+    void recordAnswer(const gateway_answer &answer, monotonic_time arrived);
     void armGatewayTimer();
 
     // --- state ---
@@ -160,6 +167,7 @@
               setIsolated(isolated);
           })
     , endpoints(executor, budget, endpointObserver())
+    , forwarder(executor, settings.internalAddress, settings.zone, budget, metrics)
     , router(gatewaySettings(settings),
              endpoints,
              [](std::string_view event, const auto &fields) {
@@ -192,7 +200,7 @@
     , instancePublisher(store, settings.zone, { settings.internalAddress, settings.processorShare })
     , internalApi(context,
                   executor,
-                  settings.internalAddress,
+                  internalServerSettings(settings, budget),
                   metrics,
                   { [this] {
                        return dump();
@@ -200,6 +208,9 @@
                     [this](std::uint64_t epoch) {
                         return ownership.stopAssigningBefore(epoch);
                     },
+                    [this](http_request request, std::shared_ptr<answer_handle> handle) {
+                        receiveForward(std::move(request), std::move(handle));
+                    },
                     [this](const http_request &request, const std::shared_ptr<answer_handle> &handle) {
                         return topicRelay.handle(request, handle);
                     } })
@@ -234,6 +245,11 @@
         router.replied(attempt, std::move(reply), steadyNow());
         armGatewayTimer();
     });
+    forwarder.setReplyHandler([this](forward_id id, forward_reply reply) {
+        router.forwarded(id, std::move(reply), steadyNow());
+        armGatewayTimer();
+    });
+    router.setForwarding(forwarder);
     router.setPermits(permits.source());
     relayedStore.setRelayTopic(platform::ownershipTopic);
     relayedStore.setReader(settings.internalAddress, settings.processorShare);
@@ -318,6 +334,7 @@
     };
     observer.instancesChanged = [this] {
         permits.setCandidates(feeds.instances());
+        forwarder.setInstances(feeds.instances());
         router.setInstances(static_cast<std::uint32_t>(candidateCount(feeds.instances())));
     };
     observer.storeRestored = [this] {
@@ -370,15 +387,34 @@
         handle->answer(platform::encodeAnswer({ std::nullopt, *code, std::nullopt }, {}));
         return;
     }
-    submit(std::get<gateway_request>(std::move(decoded)), handle);
-    armGatewayTimer();
+    submit(std::get<gateway_request>(std::move(decoded)), handle, platform::encodeAnswer);
 }
 
-void gateway_daemon::impl::submit(gateway_request request, const std::shared_ptr<answer_handle> &handle)
+void gateway_daemon::impl::receiveForward(http_request request, std::shared_ptr<answer_handle> handle)
+{
+    metrics.counter("sycamoretray_forwarded_requests_total").add();
+    auto decoded = decodeForward(std::move(request));
+    if (const auto *code = std::get_if<result_code>(&decoded)) {
+        logEvent("request_malformed", { { "code", std::string(resultName(*code)) } });
+        handle->answer(encodeForwardAnswer({ std::nullopt, *code, std::nullopt }, {}));
+        return;
+    }
+    auto forwarded = std::get<gateway_request>(std::move(decoded));
+    if (stopping) {
+        // Another instance can take it, and nothing that was read may be left when the process ends.
+        handle->answer(encodeForwardAnswer({ std::nullopt, result_code::instance_stopping, std::nullopt }, forwarded.id));
+        return;
+    }
+    submit(std::move(forwarded), handle, encodeForwardAnswer);
+}
+
+void gateway_daemon::impl::submit(gateway_request request, const std::shared_ptr<answer_handle> &handle, answer_encoder encode)
 {
     const monotonic_time now = steadyNow();
-    const auto answer = [this, handle, id = request.id, now](gateway_answer result) {
-        sendAnswer(handle, std::move(result), id, now);
+    const auto answer = [this, handle, encode, id = request.id, now](gateway_answer result) {
+        recordAnswer(result, now);
+        const bool stopped = !result.response && result.code == result_code::instance_stopping;
+        handle->answer(encode(std::move(result), id), stopped);
     };
     const gateway_request_id id = router.submit(std::move(request), answer, now);
     handle->onCallerDisconnected([this, id] {
@@ -388,16 +424,15 @@
             armGatewayTimer();
         });
     });
+    armGatewayTimer();
 }
 
-void gateway_daemon::impl::sendAnswer(const std::shared_ptr<answer_handle> &handle, gateway_answer answer, const request_id &id, monotonic_time arrived)
+void gateway_daemon::impl::recordAnswer(const gateway_answer &answer, monotonic_time arrived)
 {
     const std::string result = answer.response ? "endpoint" : std::string(resultName(answer.code));
     metrics.counter("sycamoretray_answers_total{result=\"" + result + "\"}").add();
     const time_span taken = steadyNow() - arrived;
     metrics.distribution("sycamoretray_request_seconds").record(std::chrono::duration<double>(taken).count());
-    const bool stopped = !answer.response && answer.code == result_code::instance_stopping;
-    handle->answer(platform::encodeAnswer(std::move(answer), id), stopped);
 }
 
 void gateway_daemon::impl::armGatewayTimer()
@@ -420,8 +455,10 @@
 
 // --- state ---
 
-void gateway_daemon::impl::setIsolated(bool /*isolated*/)
+void gateway_daemon::impl::setIsolated(bool isolated)
 {
+    router.setIsolated(isolated, steadyNow());
+    armGatewayTimer();
 }
 
 void gateway_daemon::impl::storeAnswered()
@@ -466,6 +503,7 @@
     feeds.expireEndpoints(now);
     instancePublisher.update(!stopping && ownership.isCurrentRelay(false) && feeds.isComplete(), feeds.instances(), now);
     endpoints.closeUnused(now);
+    forwarder.closeUnused(now);
     const auto &listed = feeds.directory().endpoints();
     const bool anyDraining = std::any_of(listed.begin(), listed.end(), [](const auto &item) {
         return item.second.entry.draining;
@@ -479,7 +517,12 @@
 
 void gateway_daemon::impl::reportLoad()
 {
-    for (load_report &report : router.takeLoadReports()) {
+    std::vector<load_report> reports = router.takeLoadReports();
+    if (isolation.isIsolated()) {
+        // The failures were not the endpoints'.
+        return;
+    }
+    for (load_report &report : reports) {
         if (ownership.addLoad(report)) {
             continue;
         }
--- a/apps/sycamoretrayd/gateway/internal_api.cpp
+++ b/apps/sycamoretrayd/gateway/internal_api.cpp
@@ -3,6 +3,7 @@
 #include "http_client/http_connection_pool.h"
 #include "http_entry/error_answer.h"
 #include "http_message/http_writer.h"
+#include "sycamoretrayd/gateway/forwarding_codec.h"
 
 #include <charconv>
 #include <map>
@@ -16,18 +17,9 @@
 {
 
 constexpr std::string_view stopTarget = "/v1/assigner/stop?epoch=";
-constexpr std::uint32_t maxInternalConnections = 128;
 constexpr time_span stopTimeout = std::chrono::milliseconds(250);
 constexpr std::uint32_t httpConflict = 409;
 
-http_server_settings serverSettings(const network_address &address)
-{
-    http_server_settings settings;
-    settings.address = address;
-    settings.maxConnections = maxInternalConnections;
-    return settings;
-}
-
 http_response textAnswer(std::string type, std::string text)
 {
     http_response response;
@@ -41,16 +33,14 @@
 struct internal_api::impl {
     impl(boost::asio::io_context &context,
          serial_executor executor,
-         const network_address &address,
+         http_server_settings settings,
          const metrics_registry &givenMetrics,
          internal_api_functions givenFunctions)
         : metrics(&givenMetrics)
         , functions(std::move(givenFunctions))
-        , server(context, serverSettings(address), [this, executor](const http_request &request, std::shared_ptr<answer_handle> handle) {
-            executor.post([this, request, handle = std::move(handle)] {
-                if (!functions.handleTopics(request, handle)) {
-                    handle->answer(answer(request));
-                }
+        , server(context, std::move(settings), [this, executor](http_request request, std::shared_ptr<answer_handle> handle) {
+            executor.post([this, request = std::move(request), handle = std::move(handle)]() mutable {
+                handleRequest(std::move(request), std::move(handle));
             });
         })
     {
@@ -60,6 +50,15 @@
     internal_api_functions functions;
     http_server server;
 
+    void handleRequest(http_request request, std::shared_ptr<answer_handle> handle) const
+    {
+        if (isForward(request)) {
+            functions.handleForward(std::move(request), std::move(handle));
+        } else if (!functions.handleTopics(request, handle)) {
+            handle->answer(answer(request));
+        }
+    }
+
     http_response answer(const http_request &request) const
     {
         if (request.method == "GET" && request.target == "/metrics") {
@@ -89,10 +88,10 @@
 
 internal_api::internal_api(boost::asio::io_context &context,
                            serial_executor executor,
-                           const network_address &address,
+                           http_server_settings settings,
                            const metrics_registry &metrics,
                            internal_api_functions functions)
-    : d(std::make_unique<impl>(context, std::move(executor), address, metrics, std::move(functions)))
+    : d(std::make_unique<impl>(context, std::move(executor), std::move(settings), metrics, std::move(functions)))
 {
 }
 
--- a/apps/sycamoretrayd/gateway/internal_api.h
+++ b/apps/sycamoretrayd/gateway/internal_api.h
@@ -22,13 +22,15 @@
     std::function<std::string()> dump;
     /** See ownership_runner::stopAssigningBefore(). */
     std::function<bool(std::uint64_t epoch)> stopAssigningBefore;
+    /** Handles a request that another instance forwarded. */
+    std::function<void(http_request request, std::shared_ptr<answer_handle> handle)> handleForward;
     /** See topic_relay::handle(). */
     std::function<bool(const http_request &request, const std::shared_ptr<answer_handle> &handle)> handleTopics;
 };
 
 /**
- * HTTP interface for other instances and operators: GET /metrics, GET /state, POST /v1/assigner/stop?epoch=N, and the requests of
- * topic_relay.
+ * HTTP interface for other instances and operators: GET /metrics, GET /state, POST /v1/assigner/stop?epoch=N, the requests of
+ * topic_relay, and callers' requests that other instances forward.
  *
  * Thread safety: none; used on the strand of the executor.
  */
@@ -37,7 +39,7 @@
 public:
     internal_api(boost::asio::io_context &context,
                  serial_executor executor,
-                 const network_address &address,
+                 http_server_settings settings,
                  const metrics_registry &metrics,
                  internal_api_functions functions);
     ~internal_api();
--- a/libs/base/result_code.h
+++ b/libs/base/result_code.h
@@ -33,6 +33,7 @@
     refused_by_server = 119,
     wrong_home = 120,
     customer_over_share = 121,
+    instance_isolated = 122,
 
     // 2xx: it is unknown whether the request ran.
     server_connection_lost = 200,
@@ -44,6 +45,7 @@
     answer_forgotten = 206,
     answer_mismatch = 207,
     repeat_unsettled = 208,
+    peer_lost = 209,
 
     // 3xx: administration.
     unknown_name = 300,
--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -67,7 +67,6 @@
     /** Withdraws the request for a permit, or returns the permit. */
     void cancelPermit(unanswered_request &pending, monotonic_time now);
     void returnPermit(unanswered_request &pending, const permit_result &result, monotonic_time now);
-    void setIsolated(bool nowIsolated, monotonic_time now);
     static permit_result permitResult(const endpoint_reply &reply);
     /** Returns @p result, or if the path was lost during the attempt, a result that says nothing about the endpoint. */
     permit_result lostAttemptResult(const unanswered_request &pending, const permit_result &result) const;
@@ -91,6 +90,15 @@
     /** Sends queued requests after capacity became free at an endpoint. */
     void sendQueuedFor(const endpoint_incarnation &endpoint, monotonic_time now);
 
+    // Other instances, while this one is isolated. Defined in gateway_forwarding.cpp.
+    void setIsolated(bool nowIsolated, monotonic_time now);
+    /** Forwards the request, or refuses it if no other instance can take it. */
+    void forward(unanswered_request &pending, monotonic_time now);
+    void forwarded(forward_id id, forward_reply reply, monotonic_time now);
+    void finishForwarded(unanswered_request &pending, forward_answered answered, monotonic_time now);
+    void handleLostForward(unanswered_request &pending, monotonic_time now);
+    void abortForward(unanswered_request &pending);
+
     // Outcomes of attempts and answers to callers. Defined in gateway_replies.cpp.
     void replied(endpoint_attempt_id attempt, endpoint_reply reply, monotonic_time now);
     void recordReply(const unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -26,6 +26,8 @@
     /** Waits for a permit. */
     awaiting_permit,
     in_flight,
+    /** Sent to another instance. */
+    forwarded,
 };
 
 /** Identifies a queue: one for each owner of keys, and one for each service that is not divided by key. */
@@ -76,6 +78,9 @@
     std::optional<permit_id> permit;
     /** Owner of the key when the permit was asked for. */
     endpoint_incarnation permitOwner;
+    forward_id forward;
+    /** Number of instances that the request was sent to. */
+    std::uint32_t forwards = 0;
     /** Number of zones that refused a permit, for a service that is not divided by key. */
     std::uint32_t zonesAsked = 0;
 };
@@ -118,9 +123,12 @@
     endpoint_port &port;
     gateway_log log;
     permit_source *permits = nullptr;
+    forwarding_port *forwarding = nullptr;
     bool isolated = false;
     /** When the isolation last ended. */
     std::optional<monotonic_time> isolatedUntil;
+    std::uint64_t lastForward = 0;
+    std::map<forward_id, gateway_request_id> forwards;
     std::uint64_t lastPermit = 0;
     std::optional<planned_stop> stop;
     std::shared_ptr<const request_routes> routes;
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -28,6 +28,8 @@
     pending.request = std::move(request);
     pending.answer = std::move(answer);
     pending.arrived = now;
+    pending.attempts = pending.request.forwardedAttempts.value_or(0);
+    pending.mayHaveRun = pending.attempts > 0;
     requests.emplace(id, std::move(owned));
     accept(pending, now);
     return id;
@@ -49,7 +51,9 @@
     pending.service = trafficSplits.choose(*route).service;
     const service_definition *definition = routes->service(pending.service);
     pending.byKey = definition != nullptr && definition->dividedByKey;
-    retryBudget(pending.service).earn(now);
+    if (!isolated) {
+        retryBudget(pending.service).earn(now);
+    }
     if (!canFinish(pending, now)) {
         refuse(pending, result_code::instance_stopping, shortRetryAfter, now);
         return;
@@ -62,7 +66,7 @@
         refuse(pending, result_code::queue_full, defaultRetryAfter, now);
         return;
     }
-    if (pending.byKey) {
+    if (pending.byKey && !isolated) {
         loadRecorder.recordDemand(pending.service, *pending.request.key, runTimes.of(pending.route));
     }
     wakeAt(pending, pending.deadline);
@@ -75,6 +79,8 @@
     removeFromQueue(pending);
     if (now + minTimeLeft >= pending.deadline) {
         expire(pending, now);
+    } else if (isolated) {
+        forward(pending, now);
     } else if (pending.byKey) {
         scheduleToOwner(pending, now);
     } else {
@@ -116,6 +122,8 @@
     const endpoint_incarnation endpoint = pending.endpoint;
     if (inFlight) {
         abortAttempt(pending, now);
+    } else if (pending.state == request_state::forwarded) {
+        abortForward(pending);
     }
     cancelPermit(pending, now);
     remove(pending);
@@ -229,6 +237,21 @@
     d->permits = &source;
 }
 
+void gateway::setForwarding(forwarding_port &port)
+{
+    d->forwarding = &port;
+}
+
+void gateway::setIsolated(bool isolated, monotonic_time now)
+{
+    d->setIsolated(isolated, now);
+}
+
+void gateway::forwarded(forward_id id, forward_reply reply, monotonic_time now)
+{
+    d->forwarded(id, std::move(reply), now);
+}
+
 void gateway::permitGranted(permit_id permit, const endpoint_id &endpoint, std::uint64_t startedAtMs, monotonic_time now)
 {
     d->permitGranted(permit, { endpoint, startedAtMs, {} }, now);
@@ -244,11 +267,6 @@
     d->permitUnavailable(permit, now);
 }
 
-void gateway::setIsolated(bool isolated, monotonic_time now)
-{
-    d->setIsolated(isolated, now);
-}
-
 void gateway::setInstances(std::uint32_t count)
 {
     d->knownInstances = count;
@@ -318,7 +336,7 @@
             continue;
         }
         unanswered_request &pending = *found->second;
-        if (pending.state == request_state::in_flight) {
+        if (pending.state == request_state::in_flight || pending.state == request_state::forwarded) {
             d->expire(pending, now);
         } else {
             d->refuse(pending, result_code::instance_stopping, shortRetryAfter, now);
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "directory/endpoint_directory.h"
 #include "directory/request_routes.h"
+#include "gateway/forwarding_port.h"
 #include "gateway/gateway_request.h"
 #include "gateway/permit_source.h"
 #include "gateway/service_retry_budget.h"
@@ -90,7 +91,14 @@
     /** Sets the source of permits; requests for which permit_source::isUsed() is true wait for one. Call it before the first submit(). */
     void setPermits(permit_source &source);
 
-    /** Sets whether this instance is isolated. What happens to its attempts says nothing about endpoints then, unless they respond. */
+    /** Sets the port by which requests are forwarded while isolated. Call it before the first submit(). */
+    void setForwarding(forwarding_port &port);
+
+    /**
+     * Sets whether this instance is isolated. While it is, requests that were not sent are forwarded to other instances; if none takes
+     * them, and if they were forwarded to this instance, they are refused with instance_isolated. What happens to its attempts says nothing
+     * about endpoints then, unless they respond.
+     */
     void setIsolated(bool isolated, monotonic_time now);
 
     /** Sets a lower bound for the number of instances that share the retry budget. */
@@ -113,6 +121,9 @@
     /** Handles the outcome of an attempt. Unknown attempts are ignored. */
     void replied(endpoint_attempt_id attempt, endpoint_reply reply, monotonic_time now);
 
+    /** Handles the outcome of forwarding a request. Unknown ids are ignored. */
+    void forwarded(forward_id id, forward_reply reply, monotonic_time now);
+
     /** Sends the request that asked for @p permit to @p endpoint. If the endpoint is unusable, returns the permit and asks again later. */
     void permitGranted(permit_id permit, const endpoint_id &endpoint, std::uint64_t startedAtMs, monotonic_time now);
 
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -174,14 +174,6 @@
     }
 }
 
-void gateway::impl::setIsolated(bool nowIsolated, monotonic_time now)
-{
-    if (isolated && !nowIsolated) {
-        isolatedUntil = now;
-    }
-    isolated = nowIsolated;
-}
-
 bool gateway::impl::isPathDoubtful(const unanswered_request &pending) const
 {
     return isolated || (isolatedUntil && pending.sentAt <= *isolatedUntil);
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -130,6 +130,10 @@
         refuse(pending, result_code::refused_by_server, hadFreeSlots ? shortRetryAfter : defaultRetryAfter, now);
         return;
     }
+    if (isolated) {
+        schedule(pending, now);
+        return;
+    }
     if (reply.misdirected && pending.byKey) {
         // The endpoint no longer holds the key. The retry waits for the ownership record that names the new owner.
         pending.retryAt = now + fullEndpointRetryDelay;
@@ -155,8 +159,12 @@
 
 void gateway::impl::expire(unanswered_request &pending, monotonic_time now)
 {
-    if (pending.state == request_state::in_flight) {
-        abortAttempt(pending, now);
+    if (pending.state == request_state::in_flight || pending.state == request_state::forwarded) {
+        if (pending.state == request_state::forwarded) {
+            abortForward(pending);
+        } else {
+            abortAttempt(pending, now);
+        }
         gateway_answer answer;
         answer.code = result_code::deadline_while_running;
         finish(pending, std::move(answer), now);
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -24,6 +24,8 @@
     std::optional<key_number> key;
     /** How long the caller waits, if it stated a deadline. */
     std::optional<time_span> timeLeft;
+    /** Set if another instance forwarded the request: the number of endpoints that may have run it before. */
+    std::optional<std::uint32_t> forwardedAttempts;
     /** Without header fields of the connection and those that are set for each attempt. */
     http_request message;
 };
