Say that an isolated instance is not ready

Callers went on opening connections to instances that reached no endpoint, since readiness said nothing of endpoints.

Readiness is 503 once an instance has been isolated for 1 s, and 200 again as soon as the isolation ends. Existing connections are served by forwarding as before.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -54,6 +54,8 @@
 constexpr std::uint32_t stopPollMilliseconds = 50;
 // An instance that is not a relay candidate reads all topics directly from the store if its zone has no relay after this time.
 constexpr std::uint32_t relayWaitMilliseconds = 1000;
+// An isolated instance says that it is not ready from this time on, so that callers connect to instances that reach endpoints.
+constexpr time_span isolationNotReadyTime = std::chrono::seconds(1);
 constexpr std::uint32_t storeCallLogIntervalMilliseconds = 5000;
 constexpr std::uint32_t loadLogIntervalMilliseconds = 1000;
 
@@ -490,7 +492,7 @@
 
 bool gateway_daemon::impl::isReady()
 {
-    const bool ready = !stopping && feeds.isComplete() && !feeds.directory().endpoints().empty();
+    const bool ready = !stopping && feeds.isComplete() && !feeds.directory().endpoints().empty() && !isolation.isIsolatedFor(isolationNotReadyTime);
     if (ready && !std::exchange(readinessLogged, true)) {
         logEvent("instance_ready", { { "config", std::to_string(feeds.routes()->version()) } });
     }
--- a/tests/integration/isolated_instance_test.py
+++ b/tests/integration/isolated_instance_test.py
@@ -105,6 +105,14 @@
             self.assert_served(name)
         self.assertEqual(forwards, [self.gateways[name].process.log().count("event=request_forwarded") for name in self.others])
 
+    def test_readiness(self):
+        """Guards against an isolated instance that goes on attracting callers, and one that stays out of rotation afterwards."""
+        name = self.others[0]
+        self.cut_and_check([name], "silent")
+        self.assertEqual([self.gateways[each].ready() for each in sorted(self.gateways)], [each != name for each in sorted(self.gateways)])
+        self.views[name].restore()
+        wait_until("readiness", self.gateways[name].ready, 2)
+
     def test_stop_while_isolated(self):
         """Guards against an isolated instance that loses requests in a planned stop."""
         stopping = self.others[0]
