Give up the assigner's role when an isolation is detected

The detector told the gateway only. It now tells the runner of the elections as well, so that an isolated assigner resigns (see 'Replace an assigner that is isolated').

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -460,6 +460,7 @@
 void gateway_daemon::impl::setIsolated(bool isolated)
 {
     router.setIsolated(isolated, steadyNow());
+    ownership.setIsolated(isolated);
     armGatewayTimer();
 }
 
