Treat an endpoint as draining when it says that it leaves

Requests were sent to an endpoint that had said in an answer that it leaves (Server-Leaving) for as long as its entry in the store called it ready: no line read the field.

The directory then takes the incarnation (id and start) for draining, whatever its entry says, also when the store is away, the entry is read again, from an older copy or after a removal; a later incarnation of the id ends that. All users of the directory follow: queues, retries, permits granted by other instances, and, if this instance assigns keys, the assigner. The event endpoint_leaving and the counter sycamoretray_endpoints_leaving_total{source} tell what an answer said from what the directory said.

The unit tests need the new functions, so that they could not run before.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -253,6 +253,9 @@
     });
     router.setForwarding(forwarder);
     router.setPermits(permits.source());
+    router.setLeavingHandler([this](const endpoint_incarnation &incarnation) {
+        feeds.endpointLeaves(incarnation, steadyNow());
+    });
     relayedStore.setRelayTopic(platform::ownershipTopic);
     relayedStore.setReader(settings.internalAddress, settings.processorShare);
     topicRelay.setReaderCallback([this](const network_address &reader, double weight) {
@@ -327,6 +330,9 @@
         ownership.directoryChanged();
         armGatewayTimer();
     };
+    observer.endpointLeaves = [this](std::string_view source) {
+        metrics.counter("sycamoretray_endpoints_leaving_total{source=\"" + std::string(source) + "\"}").add();
+    };
     observer.routesChanged = [this] {
         router.setRoutes(feeds.routes(), steadyNow());
         ownership.directoryChanged();
--- a/apps/sycamoretrayd/gateway/store_feeds.cpp
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -119,6 +119,9 @@
                                      : decoded.entry->draining ? "draining"
                                                                : "ready" },
                                { "offset", std::to_string(record.offset.value()) } });
+                    if (!decoded.entry || decoded.entry->draining) {
+                        observer.endpointLeaves("directory");
+                    }
                 }
             }
             if (changed) {
@@ -269,6 +272,15 @@
     }
 }
 
+void store_feeds::endpointLeaves(const endpoint_incarnation &incarnation, monotonic_time now)
+{
+    if (d->directory.setLeaving(incarnation, now)) {
+        logEvent("endpoint_leaving", { { "endpoint", incarnation.endpoint.value() }, { "started_ms", std::to_string(incarnation.startedAtMs) } });
+        d->observer.endpointLeaves("answer");
+        d->observer.endpointsChanged();
+    }
+}
+
 void store_feeds::applyOwnership(const ownership_record &record)
 {
     if (d->ownership.apply(record)) {
--- a/apps/sycamoretrayd/gateway/store_feeds.h
+++ b/apps/sycamoretrayd/gateway/store_feeds.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 
 namespace sycamoretray
 {
@@ -23,6 +24,8 @@
     std::function<void()> instancesChanged;
     /** The store has returned from an older copy, which may lack records of this system. Called after the ownership topic was listed again. */
     std::function<void()> storeRestored;
+    /** An endpoint began to leave. @p source  "directory" or "answer" */
+    std::function<void(std::string_view source)> endpointLeaves = [](std::string_view /*source*/) {};
 };
 
 class topic_relay;
@@ -54,6 +57,9 @@
     /** Removes endpoints that did not register again after an outage of the store. */
     void expireEndpoints(monotonic_time now);
 
+    /** Treats an endpoint as draining, because it said in an answer that it leaves. Repeated calls have no effect. */
+    void endpointLeaves(const endpoint_incarnation &incarnation, monotonic_time now);
+
     /** Applies a record that this instance has written, before it is read back from the store. */
     void applyOwnership(const ownership_record &record);
 
--- a/libs/directory/endpoint_directory.cpp
+++ b/libs/directory/endpoint_directory.cpp
@@ -12,6 +12,8 @@
 
 // Longer than the age of the copies from which a source is restored.
 constexpr time_span removalMemory = std::chrono::seconds(30);
+// Time for which it is remembered that an endpoint leaves that has no entry. It exits long before; an old entry may be read again.
+constexpr time_span leavingMemory = std::chrono::minutes(10);
 // An endpoint that still runs has written its entry again after this time, and the entry of one that has left has expired again.
 constexpr time_span postponement = std::chrono::seconds(4);
 
@@ -94,9 +96,37 @@
     return apply(record, now);
 }
 
+bool endpoint_directory::setLeaving(const endpoint_incarnation &incarnation, monotonic_time now)
+{
+    const auto known = m_endpoints.find(incarnation.endpoint);
+    const bool ended = known != m_endpoints.end() && known->second.entry.incarnation.startedAtMs > incarnation.startedAtMs;
+    if (ended || leavingSince(incarnation)) {
+        return false;
+    }
+    std::erase_if(m_leaving, [&](const auto &item) {
+        return now - item.second.since >= leavingMemory && !m_endpoints.contains(item.first);
+    });
+    m_leaving[incarnation.endpoint] = { incarnation.startedAtMs, now };
+    if (known == m_endpoints.end() || !(known->second.entry.incarnation == incarnation) || known->second.entry.draining) {
+        return false;
+    }
+    known->second.entry.draining = true;
+    known->second.stateSince = now;
+    return true;
+}
+
+std::optional<monotonic_time> endpoint_directory::leavingSince(const endpoint_incarnation &incarnation) const
+{
+    const auto found = m_leaving.find(incarnation.endpoint);
+    const bool leaving = found != m_leaving.end() && found->second.startedAtMs == incarnation.startedAtMs;
+    return leaving ? std::optional(found->second.since) : std::nullopt;
+}
+
 bool endpoint_directory::insertOrUpdate(const directory_record &record, monotonic_time now)
 {
-    const endpoint_entry &entry = *record.entry;
+    endpoint_entry entry = *record.entry;
+    const auto leaving = leavingSince(entry.incarnation);
+    entry.draining = entry.draining || leaving;
     const auto [position, inserted] = m_endpoints.try_emplace(record.id);
     listed_endpoint &known = position->second;
     const bool sameState = !inserted && known.entry.incarnation == entry.incarnation && known.entry.draining == entry.draining;
@@ -106,7 +136,7 @@
     known.offset = record.offset;
     known.missingUntil.reset();
     if (!sameState) {
-        known.stateSince = now;
+        known.stateSince = leaving.value_or(now);
     }
     return !unchanged;
 }
--- a/libs/directory/endpoint_directory.h
+++ b/libs/directory/endpoint_directory.h
@@ -61,6 +61,12 @@
      */
     bool applyListing(const std::vector<directory_record> &listing, store_era era, log_offset end, monotonic_time now);
 
+    /**
+     * Records that @p incarnation said itself that it leaves. It counts as draining from then on, whatever its entry says now or later,
+     * until its id has a later incarnation. Returns whether anything changed.
+     */
+    bool setLeaving(const endpoint_incarnation &incarnation, monotonic_time now);
+
     /** Records that the source cannot be read. Repeated calls have no effect. */
     void sourceLost();
 
@@ -81,6 +87,13 @@
     /** Applies an entry of a listing that may be older than what is known. */
     bool applyOlder(const directory_record &record, monotonic_time now);
 
+    /** Returns when the incarnation said that it leaves, if it did. */
+    std::optional<monotonic_time> leavingSince(const endpoint_incarnation &incarnation) const;
+
+    struct leaving_endpoint {
+        std::uint64_t startedAtMs = 0;
+        monotonic_time since{};
+    };
     struct removed_endpoint {
         std::uint64_t startedAtMs = 0;
         monotonic_time at{};
@@ -97,6 +110,8 @@
     std::optional<store_era> m_era;
     /** Endpoints that were removed shortly before. */
     std::map<endpoint_id, removed_endpoint> m_removed;
+    /** Endpoints that said themselves that they leave. */
+    std::map<endpoint_id, leaving_endpoint> m_leaving;
     /** Entries that a restored source lists although they had been removed. */
     std::map<endpoint_id, postponed_record> m_postponed;
 };
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -129,6 +129,7 @@
     std::optional<monotonic_time> isolatedUntil;
     std::uint64_t lastForward = 0;
     std::map<forward_id, gateway_request_id> forwards;
+    std::function<void(const endpoint_incarnation &)> endpointLeaves;
     std::uint64_t lastPermit = 0;
     std::optional<planned_stop> stop;
     std::shared_ptr<const request_routes> routes;
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -252,6 +252,11 @@
     d->forwarded(id, std::move(reply), now);
 }
 
+void gateway::setLeavingHandler(std::function<void(const endpoint_incarnation &)> handler)
+{
+    d->endpointLeaves = std::move(handler);
+}
+
 void gateway::permitGranted(permit_id permit, const endpoint_id &endpoint, std::uint64_t startedAtMs, monotonic_time now)
 {
     d->permitGranted(permit, { endpoint, startedAtMs, {} }, now);
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -101,6 +101,12 @@
      */
     void setIsolated(bool isolated, monotonic_time now);
 
+    /**
+     * Sets the function that is called with each answer of an endpoint that says that it leaves. It may call setEndpoints(). Call it
+     * before the first submit().
+     */
+    void setLeavingHandler(std::function<void(const endpoint_incarnation &)> handler);
+
     /** Sets a lower bound for the number of instances that share the retry budget. */
     void setInstances(std::uint32_t count);
 
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -29,6 +29,9 @@
     attempts.erase(found);
     const endpoint_incarnation endpoint = pending.endpoint;
     returnPermit(pending, hasResponse(reply) ? permitResult(reply) : lostAttemptResult(pending, permitResult(reply)), now);
+    if (reply.leaving && endpointLeaves) {
+        endpointLeaves(endpoint);
+    }
     const std::optional<request_rate> limitBefore = requestLimitOf(endpoint);
     recordReply(pending, reply, now);
     loadRecorder.recordRequestLimit(pending.service, endpoint.endpoint, requestLimitOf(endpoint));
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -58,6 +58,8 @@
     std::optional<endpoint_load> load;
     /** Requests a second that the endpoint takes from all instances together, if its response names a limit. */
     std::optional<request_rate> requestLimit;
+    /** The endpoint says that it leaves: it exits soon and wants no new requests. */
+    bool leaving = false;
     /** Set if answered; otherwise only the status, which is 0 without a valid response. */
     http_response response;
 };
--- a/tests/integration/gateway_test.py
+++ b/tests/integration/gateway_test.py
@@ -14,6 +14,7 @@
 BUILD = os.environ.get("SYCAMORETRAY_BUILD", "build")
 PROGRAM = os.path.join(BUILD, "apps", "sycamoretrayd", "sycamoretrayd")
 ROUTES = [("lookup", "/look/", "desk", "safe"), ("booking", "/book/", "desk", "unsafe"), ("credit", "/credit/", "ledger", "unsafe")]
+DRAIN_TIMEOUT_S = 2
 SERVICES = [("desk", True), ("ledger", False)]
 
 
@@ -102,6 +103,47 @@
         self.assert_served_for(1)
         self.assertEqual(len(leaving.runs), runs)
 
+    def assert_not_used_after_leaving(self, endpoint, prefix):
+        """Calls all instances, and checks that each stops to use the endpoint in time once it has passed on an answer that says it leaves."""
+        heard = {}
+        end = time.monotonic() + 6
+        endpoint.leaving = True
+        while time.monotonic() < end:
+            for gateway in self.gateways:
+                for key in range(0, 65536, 8000):
+                    sent = time.monotonic()
+                    runs = len(endpoint.runs)
+                    _, reply, text, _ = gateway.call(prefix, "GET", key)
+                    if gateway in heard and sent > heard[gateway] + DRAIN_TIMEOUT_S:
+                        self.assertEqual(len(endpoint.runs), runs, (gateway.process.name, text))
+                    if reply.get("Server-Leaving") == "1":
+                        heard.setdefault(gateway, time.monotonic())
+        self.assertGreater(len(heard), 0)
+
+    def test_endpoint_says_that_it_leaves(self):
+        """Guards against requests to an endpoint that left by its own word, which the directory calls ready, with and without the store."""
+        self.assert_not_used_after_leaving(self.credit_endpoints[0], "/credit/")
+        self.assert_not_used_after_leaving(self.endpoints[0], "/look/")
+        self.assertEqual(self.endpoints[0].held_count(), 0)
+        wait_until("owners of all keys", self.all_served, 3)
+        metrics = [http("GET", gateway.internal_address, "/metrics")[2] for gateway in self.gateways]
+        self.assertTrue(any('sycamoretray_endpoints_leaving_total{source="answer"}' in text for text in metrics))
+        self.store.down = True
+        with self.store.changed:
+            self.store.changed.notify_all()
+        time.sleep(0.5)
+        self.assert_not_used_after_leaving(self.endpoints[1], "/look/")
+
+    def test_endpoint_that_left_starts_again(self):
+        """Guards against a restarted endpoint that is not used because its predecessor, with the same id and address, left."""
+        left = self.credit_endpoints[0]
+        left.leaving = True
+        self.assert_not_used_after_leaving(left, "/credit/")
+        left.close()
+        started = Endpoint(self.store, left.name, left.service, left.address, divided=False)
+        self.credit_endpoints[0] = started
+        wait_until("use of the restarted endpoint", lambda: self.gateways[0].call("/credit/")[0] == 200 and started.runs, 5)
+
     def test_store_outage_interrupts_nothing(self):
         """Guards against grants that expire and configurations that are lost while the store is unavailable."""
         self.store.down = True
--- a/tests/integration/platform_standin.py
+++ b/tests/integration/platform_standin.py
@@ -260,6 +260,8 @@
         self.arrivals = []
         # Requests a second that the endpoint names as its limit in all responses.
         self.request_limit = None
+        # The endpoint says in all responses that it leaves.
+        self.leaving = False
         self.started_ms = int(time.time() * 1000)
         super().__init__(address)
         if registered:
@@ -304,6 +306,8 @@
         identity = {"Attempt-Id": request.headers["Attempt-Id"], "Instance-Id": self.name}
         if self.request_limit is not None:
             identity["Server-Limit"] = str(self.request_limit)
+        if self.leaving:
+            identity["Server-Leaving"] = "1"
         self.arrivals.append(time.monotonic())
         if request.headers.get("Expected-Instance", self.name) != self.name or (self.divided and not self.holds(int(request.headers["Shard-Key"]))):
             request.reply(421, b"", {**identity, "Not-Executed": "1"})
--- a/tests/unit/directory/endpoint_directory_test.cpp
+++ b/tests/unit/directory/endpoint_directory_test.cpp
@@ -57,6 +57,50 @@
     cr_expect_not(directory.expire(start + std::chrono::seconds(20)));
 }
 
+// Guards against an endpoint that is in use after it said that it leaves: as its entry calls it ready, also when it is read again from the
+// store, from an older copy, or after a removal.
+Test(endpoint_directory, endpoint_that_says_it_leaves_stays_draining)
+{
+    endpoint_directory directory(gracePeriod);
+    directory.apply(record("a", 5), start);
+    const endpoint_incarnation incarnation = directory.endpoints().at(endpoint_id("a")).entry.incarnation;
+    const monotonic_time said = start + std::chrono::seconds(1);
+    cr_expect(directory.setLeaving(incarnation, said));
+    cr_expect_not(directory.setLeaving(incarnation, said + std::chrono::seconds(1)));
+    const auto expectLeaving = [&](const char *when) {
+        const listed_endpoint &listed = directory.endpoints().at(endpoint_id("a"));
+        cr_expect(listed.entry.draining, "%s", when);
+        cr_expect(listed.stateSince == said, "%s", when);
+    };
+    expectLeaving("at once");
+    directory.apply(record("a", 6), start + std::chrono::seconds(2));
+    expectLeaving("entry written again");
+    directory.applyListing({ record("a", 2) }, store_era(2), log_offset(3), start + std::chrono::seconds(3));
+    expectLeaving("older copy");
+    directory.applyListing({ record("a", 2) }, store_era(3), log_offset(3), start + std::chrono::seconds(4));
+    expectLeaving("another copy");
+    directory.apply(removal("a", 7), start + std::chrono::seconds(5));
+    directory.apply(record("a", 8), start + std::chrono::seconds(6));
+    expectLeaving("registered again");
+    // Endpoints at the same address are not meant.
+    directory.apply(record("b", 9), start + std::chrono::seconds(6));
+    cr_expect_not(directory.endpoints().at(endpoint_id("b")).entry.draining);
+}
+
+// Guards against a restarted endpoint that is not used because its predecessor, with the same id and address, left.
+Test(endpoint_directory, leaving_ends_with_the_incarnation)
+{
+    endpoint_directory directory(gracePeriod);
+    directory.apply(record("a", 1, 1), start);
+    const endpoint_incarnation first = directory.endpoints().at(endpoint_id("a")).entry.incarnation;
+    directory.setLeaving(first, start);
+    directory.apply(record("a", 2, 2), start + std::chrono::seconds(1));
+    cr_expect_not(directory.endpoints().at(endpoint_id("a")).entry.draining);
+    // A late answer of the predecessor.
+    cr_expect_not(directory.setLeaving(first, start + std::chrono::seconds(2)));
+    cr_expect_not(directory.endpoints().at(endpoint_id("a")).entry.draining);
+}
+
 // Guards against requests to an endpoint that left while this instance was disconnected from the store. Its entry is missing from the
 // first listing, like that of an endpoint that registers again after an outage of the store.
 Test(endpoint_directory, new_requests_go_to_registered_endpoints_after_a_disconnection)
--- a/tests/unit/gateway/endpoint_emulator.cpp
+++ b/tests/unit/gateway/endpoint_emulator.cpp
@@ -34,6 +34,18 @@
     settings.instance = instance_id("i");
     settings.zone = availability_zone("z");
     m_gateway = std::make_unique<gateway>(settings, *this, [](std::string_view, const auto &) {});
+    // As the directory does.
+    m_gateway->setLeavingHandler([this](const endpoint_incarnation &incarnation) {
+        const listed_endpoint &listed = m_listed.at(incarnation.endpoint);
+        if (!listed.entry.draining) {
+            setDraining(static_cast<std::size_t>(std::find_if(endpoints.begin(),
+                                                              endpoints.end(),
+                                                              [&](const emulated_endpoint &each) {
+                                                                  return each.incarnation == incarnation;
+                                                              })
+                                                 - endpoints.begin()));
+        }
+    });
     publish();
 }
 
@@ -245,6 +257,7 @@
 
 void endpoint_emulator::reply(endpoint_attempt_id attempt, endpoint_reply reply)
 {
+    reply.leaving = endpoints[m_attempts.at(attempt).endpoint].leaving;
     m_attempts.erase(attempt);
     schedule(m_now + networkDelay, [this, attempt, reply = std::move(reply)] {
         m_gateway->replied(attempt, reply, m_now);
--- a/tests/unit/gateway/endpoint_emulator.h
+++ b/tests/unit/gateway/endpoint_emulator.h
@@ -34,6 +34,8 @@
     double failing = 0;
     /** Answers 421, like an endpoint that does not hold the key. */
     bool misdirected = false;
+    /** Says in all answers that it leaves. */
+    bool leaving = false;
 };
 
 struct emulated_answer {
--- a/tests/unit/gateway/gateway_test.cpp
+++ b/tests/unit/gateway/gateway_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace sycamoretray;
 
 namespace
@@ -164,6 +166,29 @@
     }
 }
 
+// Guards against requests to an endpoint after it said in an answer that it leaves, also those that were queued for it before.
+Test(gateway, endpoint_that_says_it_leaves_gets_no_new_requests)
+{
+    for (const bool byKey : { false, true }) {
+        endpoint_emulator simulation(2, byKey);
+        simulation.endpoints[0].leaving = true;
+        simulation.endpoints[1].slowness = 20;
+        for (int i = 0; i < 6; ++i) {
+            simulation.submit(shortWork);
+        }
+        simulation.run(std::chrono::milliseconds(1400));
+        const std::size_t sent = simulation.sends().size();
+        cr_assert(std::find(simulation.sends().begin(), simulation.sends().end(), 0U) != simulation.sends().end());
+        for (int i = 0; i < 10; ++i) {
+            simulation.submit(std::chrono::milliseconds(1));
+            simulation.run(std::chrono::milliseconds(100));
+        }
+        for (std::size_t i = sent; i < simulation.sends().size(); ++i) {
+            cr_expect_eq(simulation.sends()[i], 1U, "divided by key: %d", byKey ? 1 : 0);
+        }
+    }
+}
+
 // Guards against sending a request twice when owners change: scheduling one waiting request sends others of its queue that are
 // still to be scheduled. Scheduling those again threw an exception that ended the process, or ran the request twice.
 Test(gateway, change_of_owners_sends_each_queued_request_once)
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -134,6 +134,24 @@
     cr_expect(findField(unknown.fields, "Retry-After") == nullptr);
 }
 
+// Guards against an endpoint that leaves without being noticed, and against one that leaves because another said so.
+Test(request_codec, reads_that_an_endpoint_leaves)
+{
+    const auto leaving = [](std::uint32_t status, const std::string &text) {
+        return platform::decodeReply(
+                   answered(status, { { "Response-Signature", "s" }, { "Attempt-Id", "id1" }, { "Not-Executed", "1" }, { "Server-Leaving", text } }),
+                   request_id("id1"))
+            .leaving;
+    };
+    cr_expect(leaving(200, "1"));
+    cr_expect(leaving(503, "1"));
+    cr_expect(leaving(500, "1"));
+    cr_expect_not(leaving(421, "1"));
+    cr_expect_not(leaving(200, "0"));
+    cr_expect_not(leaving(200, ""));
+    cr_expect_not(platform::decodeReply(answered(200, { { "Response-Signature", "s" }, { "Attempt-Id", "id1" } }), request_id("id1")).leaving);
+}
+
 // Guards against a request limit that is not understood, or that is taken from a field that holds no rate.
 Test(request_codec, reads_the_request_limit_of_an_endpoint)
 {
