Let nobody stand in for an assigner that has no keys to assign

What callers saw: nothing; found by reading. Cause: if a configuration left no service that is divided by key, the records of owners stayed resigned after the next stop of the assigner, so that every instance would have joined the assigner's group every 0.33 s for good; each call is priced. Change: without such a service no assigner is missed. Measured: nobody_stands_in_if_no_service_is_divided_by_key failed before and passes.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -136,12 +136,22 @@
         reachLog.update(services, epoch, now);
     }
 
-    /** Returns whether an instance assigns keys, or no keys were ever assigned. */
+    /** Returns whether there are keys to assign. */
+    bool needsAssigner() const
+    {
+        const auto &routes = environment.feeds.routes();
+        const auto isDivided = [](const auto &item) {
+            return item.second.dividedByKey;
+        };
+        return routes && std::any_of(routes->services().begin(), routes->services().end(), isDivided);
+    }
+
+    /** Returns whether an instance assigns keys, or no keys were ever assigned, or there are none. */
     bool isAssigned() const
     {
         const ownership_view &ownership = environment.feeds.ownership();
         const auto assigner = currentAssigner(ownership);
-        return isLeader() || ownership.records().empty() || (assigner && !(*assigner == settings.internalAddress));
+        return isLeader() || ownership.records().empty() || !needsAssigner() || (assigner && !(*assigner == settings.internalAddress));
     }
 
     /** Joins or leaves the election of the assigner. */
--- a/tests/unit/ownership_runner/elected_site.h
+++ b/tests/unit/ownership_runner/elected_site.h
@@ -44,6 +44,9 @@
 
     void run(time_span duration);
 
+    /** Publishes a configuration whose service is divided by key or not; it is at the start. */
+    void setDividedByKey(bool dividedByKey);
+
     /** Runs until an instance other than @p former assigns, for at most @p limit; returns the time, or nothing. */
     std::optional<time_span> runUntilAssignerOtherThan(const electing_instance *former, time_span limit);
 
@@ -91,6 +94,7 @@
     group_store m_store{ m_executor };
     std::vector<fake_endpoint> m_endpoints;
     std::size_t m_orders = 0;
+    std::uint64_t m_configuration = 0;
     std::vector<std::unique_ptr<electing_instance>> m_instances;
 };
 
--- a/tests/unit/ownership_runner/ownership_runner_test.cpp
+++ b/tests/unit/ownership_runner/ownership_runner_test.cpp
@@ -75,3 +75,17 @@
     constexpr std::uint64_t laterEpoch = 1ULL << 40;
     cr_expect_not(second->runner.stopAssigningBefore(laterEpoch));
 }
+
+// Guards against instances that all call the store for ever, because they stand in for an assigner that has no keys to assign.
+Test(ownership_runner, nobody_stands_in_if_no_service_is_divided_by_key)
+{
+    elected_site site({ 3, 3 });
+    electing_instance *former = site.runUntilAssigned();
+    cr_assert_not_null(former);
+    site.setDividedByKey(false);
+    site.run(300ms);
+    former->runner.leave();
+    site.run(3s);
+    // The relay of each zone.
+    cr_expect_eq(site.store().members("sycamoretray-assigner"), 2U);
+}
