Test the wire format of forwarding, long bodies and lost callers

The test with processes forwards a body of 3 MB unchanged, and checks that the other instance cancels a request whose caller has gone.

--- a/tests/integration/isolated_instance_test.py
+++ b/tests/integration/isolated_instance_test.py
@@ -1,6 +1,8 @@
 """Instances that reach no endpoint, while callers, the store and the other instances reach them."""
 import os
+import re
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -9,7 +11,7 @@
 from endpoint_paths import StoreView
 from gateway_test import ROUTES, SERVICES, Gateway
 from platform_standin import Endpoint, StoreServer, configuration
-from processes import free_address, wait_until
+from processes import free_address, http, wait_until
 
 # From this time after the beginning of a cut, an isolated instance has to serve its callers.
 SETTLE_SECONDS = 3
@@ -85,6 +87,24 @@
         """Guards against an instance that fails its callers while nothing passes between it and the endpoints."""
         self.cut_and_check(self.others[:1], "silent")
 
+    def test_long_bodies_and_lost_callers(self):
+        """Guards against bodies that are cut short on the way, and against endpoints that go on working for callers who are gone."""
+        isolated = self.others[0]
+        self.cut_and_check([isolated], "silent")
+        body = os.urandom(1 << 16) * 48
+        status, _, _, attempt = self.gateways[isolated].call("/book/", "POST", body=body)
+        self.assertEqual(status, 200)
+        self.assertEqual([run[3] == body for endpoint in self.endpoints for run in endpoint.runs if run[0] == attempt], [True])
+        for endpoint in self.endpoints:
+            endpoint.run_seconds = 1.5
+        host, port = self.gateways[isolated].caller_address.split(":")
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(b"POST /book/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: gone\r\nShard-Key: 7\r\nContent-Length: 0\r\n\r\n")
+            wait_until("a run", lambda: any(run[0] == "gone" for endpoint in self.endpoints for run in endpoint.runs), 1)
+        cancelled = re.compile(r"^sycamoretray_requests_cancelled_total 1$", re.MULTILINE)
+        others = [gateway.internal_address for name, gateway in self.gateways.items() if name != isolated]
+        wait_until("cancellation at the other instance", lambda: any(cancelled.search(http("GET", address, "/metrics")[2]) for address in others), 1)
+
     def test_reset_connections(self):
         """Guards against an instance that fails its callers while endpoints reset and refuse its connections."""
         self.cut_and_check(self.others[:1], "reset")
--- a/tests/integration/platform_standin.py
+++ b/tests/integration/platform_standin.py
@@ -262,6 +262,7 @@
         self.request_limit = None
         # The endpoint says in all responses that it leaves.
         self.leaving = False
+        self.run_seconds = 0.01
         self.started_ms = int(time.time() * 1000)
         super().__init__(address)
         if registered:
@@ -313,7 +314,7 @@
             request.reply(421, b"", {**identity, "Not-Executed": "1"})
             return
         self.runs.append((request.headers["Attempt-Id"], request.command, request.path, body))
-        time.sleep(0.01)
+        time.sleep(self.run_seconds)
         request.reply(200, b"done by " + self.name.encode(), {**identity, "Response-Signature": "proof-" + self.name, "Instance-Load": "0,0,2"})
 
     def handle(self, request, method):
