Repeat idempotent requests that a silent network holds

Callers whose requests had been sent just before a silent cut, or before it was detected 0.5 s later, got 504 at the end of their time or after 2 s: the requests stayed on connections from which nothing came.

When an instance becomes isolated and has heard nothing of any endpoint for 0.2 s, the idempotent requests in flight are aborted and repeated through another instance, within MaxAttempts and the retry budget. Others keep waiting and end unknown, as before. An isolated instance that leaves a forwarded request to others does not log it as refused any more.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -467,6 +467,9 @@
 {
     router.setIsolated(isolated, steadyNow());
     ownership.setIsolated(isolated);
+    if (isolation.isSilent()) {
+        router.repeatUnanswered(steadyNow());
+    }
     armGatewayTimer();
 }
 
--- a/apps/sycamoretrayd/gateway/isolation_monitor.cpp
+++ b/apps/sycamoretrayd/gateway/isolation_monitor.cpp
@@ -137,6 +137,11 @@
     return d->isolated;
 }
 
+bool isolation_monitor::isSilent() const
+{
+    return d->isolated && d->detector.isSilent(steadyNow());
+}
+
 bool isolation_monitor::isIsolatedFor(time_span duration) const
 {
     return d->isolated && steadyNow() - d->isolatedAt >= duration;
--- a/apps/sycamoretrayd/gateway/isolation_monitor.h
+++ b/apps/sycamoretrayd/gateway/isolation_monitor.h
@@ -46,6 +46,9 @@
 
     bool isIsolated() const noexcept;
 
+    /** True if isolated and nothing was heard of any endpoint for a while, on established connections either. */
+    bool isSilent() const;
+
     /** True if the isolation was detected at least @p duration ago. */
     bool isIsolatedFor(time_span duration) const;
 
--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -92,6 +92,7 @@
 
     // Other instances, while this one is isolated. Defined in gateway_forwarding.cpp.
     void setIsolated(bool nowIsolated, monotonic_time now);
+    void repeatUnanswered(monotonic_time now);
     /** Forwards the request, or refuses it if no other instance can take it. */
     void forward(unanswered_request &pending, monotonic_time now);
     void forwarded(forward_id id, forward_reply reply, monotonic_time now);
--- a/libs/gateway/endpoint_isolation_detector.cpp
+++ b/libs/gateway/endpoint_isolation_detector.cpp
@@ -213,6 +213,11 @@
     return result;
 }
 
+bool endpoint_isolation_detector::isSilent(monotonic_time now) const noexcept
+{
+    return now - m_answeredAt >= silenceLimit;
+}
+
 monotonic_time endpoint_isolation_detector::silenceDue() const
 {
     monotonic_time oldest = monotonic_time::max();
--- a/libs/gateway/endpoint_isolation_detector.h
+++ b/libs/gateway/endpoint_isolation_detector.h
@@ -58,6 +58,9 @@
         return m_suspicious || m_isolatedSince;
     }
 
+    /** Returns whether no endpoint has answered a request, an order or a health check for 200 ms. */
+    bool isSilent(monotonic_time now) const noexcept;
+
     /** Number of endpoints that failed since the suspicion arose. */
     std::size_t failedEndpoints() const noexcept
     {
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -247,6 +247,11 @@
     d->setIsolated(isolated, now);
 }
 
+void gateway::repeatUnanswered(monotonic_time now)
+{
+    d->repeatUnanswered(now);
+}
+
 void gateway::forwarded(forward_id id, forward_reply reply, monotonic_time now)
 {
     d->forwarded(id, std::move(reply), now);
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -107,6 +107,12 @@
      */
     void setLeavingHandler(std::function<void(const endpoint_incarnation &)> handler);
 
+    /**
+     * Repeats the idempotent requests that are in flight, within the limits for retries, as nothing is heard of any endpoint.
+     * Precondition: isolated.
+     */
+    void repeatUnanswered(monotonic_time now);
+
     /** Sets a lower bound for the number of instances that share the retry budget. */
     void setInstances(std::uint32_t count);
 
--- a/libs/gateway/gateway_forwarding.cpp
+++ b/libs/gateway/gateway_forwarding.cpp
@@ -44,6 +44,25 @@
     }
 }
 
+void gateway::impl::repeatUnanswered(monotonic_time now)
+{
+    std::vector<gateway_request_id> inFlight;
+    for (const auto &[id, pending] : requests) {
+        if (pending->state == request_state::in_flight && pending->route.idempotent) {
+            inFlight.push_back(id);
+        }
+    }
+    for (const gateway_request_id &id : inFlight) {
+        const auto found = requests.find(id);
+        if (found != requests.end() && mayRetry(*found->second, now)) {
+            abortAttempt(*found->second, now);
+            found->second->mayHaveRun = true;
+            found->second->state = request_state::parked;
+            schedule(*found->second, now);
+        }
+    }
+}
+
 void gateway::impl::forward(unanswered_request &pending, monotonic_time now)
 {
     const bool mayForward = forwarding != nullptr && !pending.request.forwardedAttempts && pending.forwards < maxForwards;
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -190,7 +190,8 @@
 
 void gateway::impl::finish(unanswered_request &pending, gateway_answer answer, monotonic_time now)
 {
-    if (!answer.response) {
+    const bool leftToOther = pending.request.forwardedAttempts && answer.code == result_code::instance_isolated;
+    if (!answer.response && !leftToOther) {
         log("request_refused",
             { { "id", pending.request.id.value() },
               { "route", pending.route.name },
--- a/tests/unit/gateway/gateway_forwarding_test.cpp
+++ b/tests/unit/gateway/gateway_forwarding_test.cpp
@@ -105,6 +105,23 @@
     cr_expect_eq(fixture.peers.sent.size(), 1U);
 }
 
+// Guards against requests that wait for an answer out of a silent network until their deadline, and against a second run of one that is
+// not idempotent.
+Test(gateway_forwarding, repeats_unanswered_idempotent_requests)
+{
+    forwarding_fixture fixture;
+    fixture.simulation.submit(work);
+    fixture.simulation.route.idempotent = false;
+    fixture.simulation.publish();
+    fixture.simulation.submit(work);
+    fixture.simulation.run(10ms);
+    fixture.setIsolated(true);
+    cr_expect(fixture.peers.sent.empty());
+    fixture.simulation.router().repeatUnanswered(fixture.simulation.now());
+    cr_assert_eq(fixture.peers.sent.size(), 1U);
+    cr_expect_eq(fixture.peers.sent.front().attempts, 1U);
+}
+
 // Guards against an attempt that found no connection and is then tried at one unreachable endpoint after another.
 Test(gateway_forwarding, forwards_an_attempt_that_was_not_sent)
 {
