Let a connection probe succeed after a pause of the process

A process that is paused for more than 0.25 s, as small machines are, finds both the connection open and the probe's time over. If the timer's handler ran first, each probe of a round counted as failed, which can look like isolation although endpoints accept connections.

The timeout is decided one turn of the executor later, after handlers that are due. No test shows it, as the order of handlers is not under a test's control; the tests with processes pass as before.

--- a/apps/sycamoretrayd/gateway/endpoint_prober.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_prober.cpp
@@ -82,10 +82,14 @@
         decide(error ? connection_event::refused : connection_event::opened);
     });
     probe->timer.expires_after(probeTimeout);
-    probe->timer.async_wait([decide](const boost::system::error_code &error) {
-        if (!error) {
-            decide(connection_event::connect_timed_out);
+    probe->timer.async_wait([probe, decide](const boost::system::error_code &error) {
+        if (error) {
+            return;
         }
+        // After a pause of the process, the connection may be open as well; its handler is then queued and runs first.
+        boost::asio::post(probe->socket.get_executor(), [decide] {
+            decide(connection_event::connect_timed_out);
+        });
     });
 }
 
