--- a/libs/gateway/gateway_forwarding.cpp
+++ b/libs/gateway/gateway_forwarding.cpp
@@ -19,6 +19,8 @@
 struct visitor : Functions... {
     using Functions::operator()...;
 };
+template<class... Functions>
+visitor(Functions...) -> visitor<Functions...>;
 
 } // namespace
 
