Send no request to an endpoint for the time that its refusal names

An endpoint that refuses a request with 503 may add Retry-After: it wants nothing from this instance for so long. No line read the field, so that requests went on with a backoff of at most some tenths of a second.

The endpoint's limiter takes no request before its end, whoever gave the permit. Requests for its keys that cannot wait so long are refused at once with the rest of the time. Events: endpoint_paused, endpoint_pause_unreadable; a counter of events by name.

Four of the new tests fail without the limiter's part: paused_endpoint_gets_no_request, owner_that_wants_a_pause_gets_no_request_until_its_end, pause_of_one_endpoint_sends_requests_to_others, permit_for_a_paused_endpoint_is_returned.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -172,7 +172,8 @@
     , forwarder(executor, settings.internalAddress, settings.zone, budget, metrics)
     , router(gatewaySettings(settings),
              endpoints,
-             [](std::string_view event, const auto &fields) {
+             [this](std::string_view event, const auto &fields) {
+                 metrics.counter("sycamoretray_router_events_total{event=\"" + std::string(event) + "\"}").add();
                  logEvent(event, fields);
              })
     , feeds(relayedStore, topicRelay, executor, feedObserver())
--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -35,6 +35,8 @@
     /** Sends the request, asks for a permit, queues the request, or refuses it. */
     void schedule(unanswered_request &pending, monotonic_time now);
     void scheduleToOwner(unanswered_request &pending, monotonic_time now);
+    /** Delays the request until the owner of its key takes requests from this instance again, or refuses it if that is too late. */
+    void waitForPause(unanswered_request &pending, monotonic_time until, monotonic_time now);
     void scheduleToAny(unanswered_request &pending, monotonic_time now);
     /** Asks for a permit if one is needed; otherwise adds the request to a queue of this instance. */
     void enqueue(unanswered_request &pending, const detail::queue_id &queueId, monotonic_time now);
@@ -102,6 +104,7 @@
 
     // Outcomes of attempts and answers to callers. Defined in gateway_replies.cpp.
     void replied(endpoint_attempt_id attempt, endpoint_reply reply, monotonic_time now);
+    void logPause(const endpoint_incarnation &endpoint, const endpoint_reply &reply) const;
     void recordReply(const unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
     /** Logs a change of the endpoint's request limit. If it had none before, the requests queued for it need permits from now on. */
     void handleRequestLimit(const endpoint_incarnation &endpoint, const std::optional<request_rate> &before, monotonic_time now);
--- a/libs/gateway/endpoint_limiter.cpp
+++ b/libs/gateway/endpoint_limiter.cpp
@@ -89,7 +89,12 @@
 
 monotonic_time endpoint_limiter::blockedUntil() const noexcept
 {
-    return std::max(m_blockedUntil, m_requestLimit.nextRequestAt());
+    return std::max({ m_blockedUntil, m_pausedUntil, m_requestLimit.nextRequestAt() });
+}
+
+monotonic_time endpoint_limiter::pausedUntil() const noexcept
+{
+    return m_pausedUntil;
 }
 
 std::uint32_t endpoint_limiter::inFlight() const noexcept
@@ -225,6 +230,9 @@
     recordRequestLimit(reply, now);
     recordLoadReport(reply, now);
     countOutcome(true);
+    if (reply.pause && m_use == sender_mode::one_of_many_senders) {
+        m_pausedUntil = std::max(m_pausedUntil, now + *reply.pause);
+    }
     if (m_use == sender_mode::sole_sender && (refusedDespiteFreeSlots(reply) || reply.kind == reply_kind::failed)) {
         // No backoff: other requests may succeed, and no other sender would use the worker slots in the meantime.
         return;
--- a/libs/gateway/endpoint_limiter.h
+++ b/libs/gateway/endpoint_limiter.h
@@ -46,9 +46,12 @@
     /** True if a request may be sent now. */
     bool hasCapacity(monotonic_time now) const noexcept;
 
-    /** End of the backoff after a failure, or of the wait for the request limit: hasCapacity() is false before. */
+    /** End of the backoff after a failure, of the wait for the request limit, or of the pause: hasCapacity() is false before. */
     monotonic_time blockedUntil() const noexcept;
 
+    /** End of the time for which the endpoint wants no request from this instance: hasCapacity() is false before. */
+    monotonic_time pausedUntil() const noexcept;
+
     std::uint32_t inFlight() const noexcept;
 
     /** Request limit that the endpoint names, if any. */
@@ -121,6 +124,7 @@
     /** Consecutive requests that the endpoint refused because it was full. */
     std::uint32_t m_consecutiveFull = 0;
     monotonic_time m_blockedUntil{};
+    monotonic_time m_pausedUntil{};
     bool m_hasAnswered = false;
     double m_slowness = 1;
     /** Share of failed requests, as an exponential moving average. */
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -96,6 +96,10 @@
         park(pending, owner, now);
         return;
     }
+    if (tracked->limiter.pausedUntil() > now) {
+        waitForPause(pending, tracked->limiter.pausedUntil(), now);
+        return;
+    }
     enqueue(pending, detail::queue_id(owner.owner), now);
 }
 
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -113,7 +113,8 @@
         return;
     }
     detail::tracked_endpoint *tracked = findEndpoint(incarnation);
-    const bool usable = tracked != nullptr && acceptsKeyedRequests(*tracked, now) && (pending->byKey || !tracked->limiter.entry().draining);
+    const bool usable = tracked != nullptr && acceptsKeyedRequests(*tracked, now) && (pending->byKey || !tracked->limiter.entry().draining)
+        && tracked->limiter.pausedUntil() <= now;
     if (usable) {
         send(*pending, *tracked, now);
         return;
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -33,10 +33,16 @@
         endpointLeaves(endpoint);
     }
     const std::optional<request_rate> limitBefore = requestLimitOf(endpoint);
+    const bool pauses = reply.pause.has_value();
+    logPause(endpoint, reply);
     recordReply(pending, reply, now);
     loadRecorder.recordRequestLimit(pending.service, endpoint.endpoint, requestLimitOf(endpoint));
     handleReply(pending, std::move(reply), now);
     handleRequestLimit(endpoint, limitBefore, now);
+    if (pauses) {
+        // Those that cannot wait so long are refused.
+        rescheduleQueue(detail::queue_id(endpoint), now);
+    }
     sendQueued(detail::queue_id(endpoint), now);
     if (const detail::tracked_endpoint *tracked = findEndpoint(endpoint)) {
         sendQueued(detail::queue_id(tracked->limiter.entry().service), now);
@@ -44,6 +50,15 @@
     removeUnlisted();
 }
 
+void gateway::impl::logPause(const endpoint_incarnation &endpoint, const endpoint_reply &reply) const
+{
+    if (reply.pauseUnreadable) {
+        log("endpoint_pause_unreadable", { { "endpoint", endpoint.endpoint.value() } });
+    } else if (reply.pause) {
+        log("endpoint_paused", { { "endpoint", endpoint.endpoint.value() }, { "ms", milliseconds(*reply.pause) } });
+    }
+}
+
 void gateway::impl::recordReply(const unanswered_request &pending, const endpoint_reply &reply, monotonic_time now)
 {
     detail::tracked_endpoint *tracked = findEndpoint(pending.endpoint);
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -58,6 +58,10 @@
     std::optional<endpoint_load> load;
     /** Requests a second that the endpoint takes from all instances together, if its response names a limit. */
     std::optional<request_rate> requestLimit;
+    /** Time for which the endpoint, which refused the request, wants no other one from this instance. */
+    std::optional<time_span> pause;
+    /** The response names a pause that cannot be read. */
+    bool pauseUnreadable = false;
     /** The endpoint says that it leaves: it exits soon and wants no new requests. */
     bool leaving = false;
     /** Set if answered; otherwise only the status, which is 0 without a valid response. */
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -88,6 +88,17 @@
     wakeAt(pending, pending.parkedUntil);
 }
 
+void gateway::impl::waitForPause(unanswered_request &pending, monotonic_time until, monotonic_time now)
+{
+    if (until + runTimes.of(pending.route) > now + answerTimeLimit(pending, queueTargetFactor, now)) {
+        refuse(pending, result_code::deadline_unreachable, std::clamp(until - now, shortRetryAfter, maxRetryAfter), now);
+        return;
+    }
+    pending.state = request_state::delayed;
+    pending.retryAt = until;
+    wakeAt(pending, until);
+}
+
 void gateway::impl::sendQueued(const detail::queue_id &queueId, monotonic_time now)
 {
     while (true) {
--- a/tests/unit/gateway/endpoint_emulator.cpp
+++ b/tests/unit/gateway/endpoint_emulator.cpp
@@ -208,6 +208,10 @@
     } else if (endpoint.misdirected) {
         refused.misdirected = true;
         reply(attempt, refused);
+    } else if (endpoint.pause) {
+        refused.pause = endpoint.pause;
+        refused.response.status = 503;
+        reply(attempt, refused);
     } else if (m_running[index] >= endpoint.slots && m_queues[index].size() >= endpoint.queue) {
         if (endpoint.onFull == full_behaviour::refuse) {
             reply(attempt, refused);
--- a/tests/unit/gateway/endpoint_emulator.h
+++ b/tests/unit/gateway/endpoint_emulator.h
@@ -36,6 +36,8 @@
     bool misdirected = false;
     /** Says in all answers that it leaves. */
     bool leaving = false;
+    /** Refuses all requests and names this pause. */
+    std::optional<time_span> pause;
 };
 
 struct emulated_answer {
--- a/tests/unit/gateway/endpoint_limiter_test.cpp
+++ b/tests/unit/gateway/endpoint_limiter_test.cpp
@@ -82,3 +82,35 @@
     cr_expect(limiter.requestLimit() == request_rate(5));
     cr_expect_float_eq(limiter.estimatedLoad(start), 0, 0.001);
 }
+
+// Guards against requests to an endpoint that named a time for which it wants none, and against an answer to an earlier request that ends it.
+Test(endpoint_limiter, paused_endpoint_gets_no_request)
+{
+    endpoint_limiter limiter{ listed_endpoint{} };
+    const monotonic_time start(10s);
+    limiter.sent(start);
+    limiter.sent(start);
+    endpoint_reply refusal = refusalOfFullEndpoint();
+    refusal.response.status = 503;
+    refusal.pause = 3s;
+    limiter.failed(refusal, start);
+    endpoint_reply answer;
+    answer.kind = reply_kind::answered;
+    answer.response.status = 200;
+    limiter.answered(answer, 50ms, 50ms, start + 100ms);
+    cr_expect_not(limiter.hasCapacity(start + 2999ms));
+    cr_expect(limiter.hasCapacity(start + 3s));
+    cr_expect(limiter.blockedUntil() == start + 3s);
+}
+
+// Guards against a coordinator that pauses an endpoint for all instances because it refused one of them.
+Test(endpoint_limiter, pause_holds_for_the_instance_that_was_refused)
+{
+    endpoint_limiter limiter(listed_endpoint{}, sender_mode::sole_sender);
+    const monotonic_time start(10s);
+    limiter.sent(start);
+    endpoint_reply refusal = refusalOfFullEndpoint();
+    refusal.pause = 3s;
+    limiter.failed(refusal, start);
+    cr_expect(limiter.hasCapacity(start + 1s));
+}
--- a/tests/unit/gateway/gateway_permit_test.cpp
+++ b/tests/unit/gateway/gateway_permit_test.cpp
@@ -146,3 +146,22 @@
     fixture.router.permitUnavailable(fixture.source.asked[0].id, fixture.now);
     cr_expect_eq(fixture.port.sent.size(), 1U);
 }
+
+// Guards against a permit of another instance by which a request is sent to an endpoint that wants none from this instance.
+Test(gateway_permits, permit_for_a_paused_endpoint_is_returned)
+{
+    gateway_fixture fixture;
+    fixture.router.permitGranted(fixture.source.asked[0].id, endpoint_id("e"), 1, fixture.now);
+    cr_assert_eq(fixture.port.sent.size(), 1U);
+    endpoint_reply refusal;
+    refusal.kind = reply_kind::not_run;
+    refusal.code = result_code::refused_by_server;
+    refusal.response.status = 503;
+    refusal.pause = 3s;
+    fixture.router.replied(fixture.port.sent[0], refusal, fixture.now);
+    cr_assert_eq(fixture.source.asked.size(), 2U);
+    fixture.router.permitGranted(fixture.source.asked[1].id, endpoint_id("e"), 1, fixture.now);
+    cr_expect_eq(fixture.port.sent.size(), 1U);
+    cr_assert_eq(fixture.source.returned.size(), 2U);
+    cr_expect_not(fixture.source.returned[1].second.finished);
+}
--- a/tests/unit/gateway/gateway_test.cpp
+++ b/tests/unit/gateway/gateway_test.cpp
@@ -282,3 +282,44 @@
     cr_expect_eq(simulation.answers()[waiting].code, result_code::instance_stopping);
     cr_expect_eq(simulation.sends().size(), sent);
 }
+
+// Guards against requests to an owner of keys that named a time for which it wants none, requests that are held although they cannot wait so
+// long, and requests that are not sent after that time.
+Test(gateway, owner_that_wants_a_pause_gets_no_request_until_its_end)
+{
+    constexpr time_span pause = std::chrono::seconds(5);
+    endpoint_emulator simulation(1, true);
+    simulation.endpoints[0].pause = pause;
+    const std::size_t first = simulation.submit(shortWork, 7);
+    simulation.run(std::chrono::milliseconds(300));
+    cr_expect_eq(simulation.sends().size(), 1U);
+    cr_expect_neq(simulation.answers()[first].status, 200U);
+    for (int i = 0; i < 20; ++i) {
+        const std::size_t request = simulation.submit(shortWork, 7);
+        simulation.run(std::chrono::milliseconds(200));
+        const emulated_answer &answer = simulation.answers()[request];
+        cr_assert(answer.answered);
+        cr_expect_eq(answer.code, result_code::deadline_unreachable);
+        cr_expect(answer.retryAfter.has_value());
+        cr_expect(answer.finished - answer.arrived < std::chrono::milliseconds(10));
+    }
+    cr_expect_eq(simulation.sends().size(), 1U);
+    simulation.endpoints[0].pause.reset();
+    simulation.run(pause);
+    const std::size_t last = simulation.submit(shortWork, 7);
+    simulation.run(std::chrono::seconds(1));
+    cr_expect_eq(simulation.answers()[last].status, 200U);
+}
+
+// Guards against requests that are held by the pause of one endpoint although another one can run them.
+Test(gateway, pause_of_one_endpoint_sends_requests_to_others)
+{
+    endpoint_emulator simulation(2, false);
+    simulation.endpoints[0].pause = std::chrono::seconds(5);
+    for (int i = 0; i < 20; ++i) {
+        const std::size_t request = simulation.submit(shortWork);
+        simulation.run(std::chrono::milliseconds(100));
+        cr_expect_eq(simulation.answers()[request].status, 200U, "request %d", i);
+    }
+    cr_expect_leq(std::count(simulation.sends().begin(), simulation.sends().end(), 0U), 1);
+}
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -168,3 +168,24 @@
         cr_expect_not(limit(200, malformed).has_value(), "%s", malformed);
     }
 }
+
+// Guards against a pause that is not understood, taken from a response other than a refusal, or that an unreadable or huge value makes endless.
+Test(request_codec, reads_the_pause_that_an_endpoint_wants)
+{
+    const auto decode = [](std::uint32_t status, const std::string &text) {
+        return platform::decodeReply(
+            answered(status, { { "Response-Signature", "s" }, { "Attempt-Id", "id1" }, { "Not-Executed", "1" }, { "Retry-After", text } }), request_id("id1"));
+    };
+    cr_expect(decode(503, "2").pause == std::chrono::seconds(2));
+    cr_expect(decode(503, "0.25").pause == std::chrono::milliseconds(250));
+    cr_expect(decode(503, "0").pause == time_span::zero());
+    cr_expect(decode(503, "1e300").pause == std::chrono::minutes(5));
+    cr_expect(decode(503, "inf").pause == std::chrono::minutes(5));
+    cr_expect_not(decode(200, "2").pause.has_value());
+    cr_expect_not(decode(429, "2").pause.has_value());
+    for (const char *malformed : { "", "-1", "nan", "soon", "3 s" }) {
+        const endpoint_reply reply = decode(503, malformed);
+        cr_expect(!reply.pause && reply.pauseUnreadable, "%s", malformed);
+        cr_expect(reply.kind == reply_kind::not_run, "%s", malformed);
+    }
+}
