Report an outcome for every grant that waits for a connection

Ranges could stay without a grant for good. When the connection for grants was refused, the first waiting grant failed before the others did; a grant that its callback sent replaced the pool, and the others' failures, posted later, found it gone. The pool now fails the others first.

A healthy endpoint counted as lost when it closed the connection while grants waited behind the one that it answered, because they failed as unsent; its keys were moved. Requests that find the single connection lost, or wait for it until their timeout, now say connection_lost, which says nothing about the endpoint, and their new tokens are not used up. A request is not started after its deadline, and the connection for grants outlives the longest interval between renewals.

Found in review.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -20,6 +20,8 @@
 constexpr time_span idleTimeout = std::chrono::seconds(5);
 // A request on a connection without any traffic is retried or failed after about this time.
 constexpr time_span stalledConnectionTimeout = std::chrono::seconds(2);
+// Longer than the longest interval between renewals.
+constexpr time_span grantIdleTimeout = std::chrono::seconds(15);
 constexpr std::uint32_t maxConnectionsPerEndpoint = 32;
 constexpr time_span grantTimeout = std::chrono::milliseconds(250);
 // An endpoint answers a release after its last request for the keys has ended, which takes up to the longest run time of a request.
@@ -103,6 +105,7 @@
             executor.post([former = std::move(connection.pool)] {});
             connection_pool_settings settings = observedSettings(endpoint.address);
             settings.singleConnection = true;
+            settings.idleTimeout = grantIdleTimeout;
             connection = { std::make_shared<http_connection_pool>(executor, endpoint.address, std::move(settings)), {}, {} };
         }
         return connection;
@@ -130,8 +133,6 @@
             const auto found = grantConnections.find(order.endpoint);
             if (reply.outcome == order_outcome::accepted && found != grantConnections.end()) {
                 found->second.number = reply.connection;
-            } else if (order.connection && reply.outcome == order_outcome::unsent) {
-                reply.outcome = order_outcome::connection_lost;
             }
             done(order.order, std::move(reply));
         });
--- a/libs/http_client/http_connection_pool.cpp
+++ b/libs/http_client/http_connection_pool.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <deque>
 #include <iterator>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -52,8 +53,10 @@
     boost::asio::ip::tcp::endpoint endpoint;
     bool addressValid = false;
     bool closed = false;
-    /** The single connection was opened. */
+    /** Opening the single connection was attempted. */
     bool opened = false;
+    /** A connection was established. */
+    bool established = false;
     bool sweeping = false;
     /** Expiry time of the timer while sweeping is true. */
     monotonic_time sweepAt;
@@ -160,8 +163,11 @@
     /** Starts the requests that an idle connection suits, so that none that still waits can use one. */
     void startWaiting()
     {
+        const monotonic_time now = steadyNow();
         for (auto next = waiting.begin(); next != waiting.end() && !idle.empty();) {
-            next = startOnIdle(*next) ? waiting.erase(next) : std::next(next);
+            // After a pause of the process, the sweep that fails expired requests may still be due.
+            const bool started = next->deadline > now && startOnIdle(*next);
+            next = started ? waiting.erase(next) : std::next(next);
         }
         openNeeded();
     }
@@ -181,6 +187,12 @@
         }
     }
 
+    /** Why a request was not sent: the single connection was lost, which says nothing about the server, or the server cannot be reached. */
+    result_code unsentCode() const
+    {
+        return settings.singleConnection && established ? result_code::server_connection_lost : result_code::peer_unreachable;
+    }
+
     /** Fails an exchange of which nothing was sent. */
     void failLater(callback done)
     {
@@ -189,7 +201,7 @@
             if (self && !self->closed) {
                 pending_exchange unsent;
                 unsent.done = done;
-                failUnsent(unsent, result_code::peer_unreachable);
+                failUnsent(unsent, self->unsentCode());
             }
         });
     }
@@ -214,6 +226,7 @@
     void connected(client_connection &connection) override
     {
         observe(connection_event::opened);
+        established = true;
         connection.deadline = steadyNow() + settings.idleTimeout;
         idle.push_back(&connection);
         startWaiting();
@@ -231,13 +244,15 @@
         remove(connection);
         spareRetryAt = steadyNow() + spareRetryInterval;
         // One failed connection fails one request. The others may still get the connections being opened.
+        std::optional<pending_exchange> failed;
         if (!waiting.empty()) {
-            const pending_exchange exchange = std::move(waiting.front());
+            failed = std::move(waiting.front());
             waiting.pop_front();
-            failUnsent(exchange, result_code::peer_unreachable);
         }
-        if (!closed) {
-            startWaiting();
+        startWaiting();
+        // Last, because the callback may replace the pool.
+        if (failed) {
+            failUnsent(*failed, result_code::peer_unreachable);
         }
     }
 
@@ -332,9 +347,10 @@
         });
         const std::vector<pending_exchange> expired(std::make_move_iterator(firstExpired), std::make_move_iterator(waiting.end()));
         waiting.erase(firstExpired, waiting.end());
+        const result_code code = settings.singleConnection && established ? result_code::server_connection_lost : result_code::deadline_while_running;
         for (const pending_exchange &exchange : expired) {
             if (!closed) {
-                failUnsent(exchange, result_code::deadline_while_running);
+                failUnsent(exchange, code);
             }
         }
     }
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -38,8 +38,8 @@
     time_span idleTimeout = std::chrono::seconds(10);
     time_span connectTimeout = std::chrono::seconds(1);
     /**
-     * Open one connection only, and none after it is lost, so that every request reaches the same process. Requests that find it lost
-     * fail unsent.
+     * Open one connection only, and none after it is lost, so that every request reaches the same process. Requests that find it lost, or
+     * wait for it until their timeout, fail unsent with server_connection_lost.
      */
     bool singleConnection = false;
     /** Approximate time after which a connection is closed if its peer acknowledges neither data nor keep-alive probes; 0: system default. */
--- a/libs/key_ownership/assigner_actions.h
+++ b/libs/key_ownership/assigner_actions.h
@@ -23,8 +23,8 @@
 /**
  * Grants keys to an endpoint, or renews an existing grant.
  *
- * A grant names no incarnation, so any process that has the endpoint's address when the grant arrives accepts it. A token is therefore sent on
- * one connection only, which reaches one process only.
+ * A grant names the endpoint's id, but not its incarnation, and some endpoints do not read the id: another process at the address may accept the
+ * grant. A token is therefore sent on one connection only, which reaches one process only.
  */
 struct send_grant {
     order_id order;
@@ -73,7 +73,7 @@
     unanswered,
     /** The order is known not to have been sent, because the endpoint cannot be reached. */
     unsent,
-    /** The order was not sent, because the connection that it requires was lost. */
+    /** The order was not sent, because its connection was lost or busy. Says nothing about the endpoint. */
     connection_lost,
 };
 
--- a/libs/key_ownership/key_assigner_orders.cpp
+++ b/libs/key_ownership/key_assigner_orders.cpp
@@ -191,7 +191,8 @@
 
 void key_assigner::impl::grantFailed(assignment &subject, const pending_order &order, order_outcome outcome, monotonic_time now)
 {
-    if (outcome == order_outcome::unsent) {
+    const bool unsent = outcome == order_outcome::unsent || outcome == order_outcome::connection_lost;
+    if (unsent && !subject.grantedOn) {
         // No process has seen the token.
         --subject.tokensSent;
     }
