Renew replaced grants while the leadership is unconfirmed

Keys of a healthy endpoint went unserved when the store was lost while the record that replaces its grant was being written: an assigner without confirmed leadership required a connection of the new token, which does not exist yet, and renewed nothing. The connection of a replaced grant is part of that grant, so that it can be renewed. replaced_grants_outlast_an_outage_of_the_store fails without the change.

--- a/libs/key_ownership/key_assigner_orders.cpp
+++ b/libs/key_ownership/key_assigner_orders.cpp
@@ -110,7 +110,7 @@
 
 void key_assigner::impl::sendDueOrders(assignment &subject, bool mayDecide, monotonic_time now)
 {
-    if (!mayDecide && !(subject.renewedWithoutGap && subject.grantedOn)) {
+    if (!mayDecide && !(subject.renewedWithoutGap && (subject.grantedOn || !subject.renewUntilWritten.empty()))) {
         return;
     }
     if (subject.changedInRevision > writtenRevision) {
--- a/tests/unit/key_ownership/key_assigner_test.cpp
+++ b/tests/unit/key_ownership/key_assigner_test.cpp
@@ -2,6 +2,12 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
 using namespace sycamoretray;
 
 namespace
@@ -141,3 +147,17 @@
     cr_expect(simulation.longestUnserved() < settings.renewInterval + std::chrono::milliseconds(250) + settings.retryInterval + std::chrono::milliseconds(200));
     cr_expect(simulation.violations().empty(), "%s", simulation.violations().empty() ? "" : simulation.violations().front().c_str());
 }
+
+// Guards against grants that expire because the store is lost while the record that replaces them is being written.
+Test(key_assigner, replaced_grants_outlast_an_outage_of_the_store)
+{
+    ownership_simulation simulation = faultFreeSimulation();
+    simulation.run(std::chrono::seconds(3));
+    simulation.setStoreUnavailable(true);
+    simulation.setDraining(2);
+    // The outage that an assigner has to bridge.
+    for (int second = 1; second <= 9; ++second) {
+        simulation.run(std::chrono::seconds(1));
+        cr_expect_eq(simulation.servedKeys(), ownership_simulation::watchedKeys(), "after %d s: %zu", second, simulation.servedKeys());
+    }
+}
