Do not take a health check with another id for the end of a grant

Two endpoints could hold the same keys: a process that does not read the id in orders has applied a grant for its predecessor without an answer in time, and then names its own id in a health check. The predecessor counted as terminated and holding nothing, so that its keys were granted to others before that grant had run out. An order that is rejected still shows that the process does not accept orders for the predecessor; a health check only shows that the endpoint is not there, so that it counts as unresponsive.

health_check_with_another_id_does_not_end_a_grant fails without the change. The simulation compares ids in health checks now.

--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -104,7 +104,7 @@
     const endpoint_incarnation *successorOf(const endpoint_incarnation &incarnation) const;
     /** Returns whether the process of @p incarnation is known to have terminated. */
     bool hasTerminated(const endpoint_incarnation &incarnation) const;
-    /** Records that another process answers at the address of @p incarnation, which therefore holds nothing. */
+    /** Records that another process rejects orders for @p incarnation at its address, so that it has terminated and holds nothing. */
     void recordTermination(const endpoint_incarnation &incarnation, monotonic_time now);
     void indexEndpoints();
     void detectEndedIncarnations();
@@ -115,7 +115,7 @@
     void replaceIncarnation(const endpoint_incarnation &incarnation, const endpoint_incarnation &successor);
     /** Returns @p incarnation, or its latest successor if it has terminated. */
     endpoint_incarnation currentIncarnation(endpoint_incarnation incarnation) const;
-    void recordResponsiveness(const endpoint_incarnation &incarnation, order_outcome outcome, monotonic_time now);
+    void recordResponsiveness(const endpoint_incarnation &incarnation, order_kind kind, order_outcome outcome, monotonic_time now);
     ownership_record toOwnershipRecord() const;
 
     // Assignments and the planning of moves. Defined in key_assigner_planning.cpp.
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -137,7 +137,7 @@
     return incarnation;
 }
 
-void key_assigner::impl::recordResponsiveness(const endpoint_incarnation &incarnation, order_outcome outcome, monotonic_time now)
+void key_assigner::impl::recordResponsiveness(const endpoint_incarnation &incarnation, order_kind kind, order_outcome outcome, monotonic_time now)
 {
     switch (outcome) {
     case order_outcome::accepted:
@@ -146,8 +146,12 @@
         responsiveness.answered(incarnation);
         break;
     case order_outcome::misdirected:
-        recordTermination(incarnation, now);
-        break;
+        if (kind != order_kind::probe) {
+            recordTermination(incarnation, now);
+            break;
+        }
+        // A process that answers health checks with another id may still accept orders for this one, and hold keys by them.
+        [[fallthrough]];
     case order_outcome::unanswered:
     case order_outcome::unsent:
         responsiveness.failed(incarnation, now);
@@ -269,7 +273,7 @@
     }
     const pending_order done = found->second;
     d->orders.erase(found);
-    d->recordResponsiveness(done.incarnation, reply.outcome, now);
+    d->recordResponsiveness(done.incarnation, done.kind, reply.outcome, now);
     switch (done.kind) {
     case order_kind::grant:
         d->grantDone(done, order, reply, now);
--- a/tests/unit/key_ownership/key_assigner_test.cpp
+++ b/tests/unit/key_ownership/key_assigner_test.cpp
@@ -161,3 +161,64 @@
         cr_expect_eq(simulation.servedKeys(), ownership_simulation::watchedKeys(), "after %d s: %zu", second, simulation.servedKeys());
     }
 }
+
+// Guards against two holders of a key: the process at the address of a lost endpoint has applied a grant for it, and names another id in its
+// health check.
+Test(key_assigner, health_check_with_another_id_does_not_end_a_grant)
+{
+    monotonic_time now{ std::chrono::seconds(100) };
+    const monotonic_time lostAt = now + std::chrono::seconds(1);
+    const assigner_settings settings;
+    key_assigner assigner(service_id("s"), settings);
+    std::vector<listed_endpoint> endpoints(4);
+    ownership_record record;
+    record.service = service_id("s");
+    record.epoch = 1;
+    record.grantLength = settings.grantLength;
+    constexpr std::uint32_t keysOfEach = keyCount / 4;
+    for (std::uint32_t i = 0; i < endpoints.size(); ++i) {
+        endpoints[i].entry.incarnation = { endpoint_id("e" + std::to_string(i)), 1, network_address("10.0.0." + std::to_string(i + 1) + ":1") };
+        endpoints[i].entry.workerSlots = 2;
+        record.assignments.push_back({ { i * keysOfEach, (i + 1) * keysOfEach - 1 }, endpoints[i].entry.incarnation, fencing_token(i + 1), {}, {}, true, {} });
+    }
+    record.nextToken = 100;
+    assigner.start(record, 2, network_address("10.0.0.1:1"), time_span::zero(), now);
+    assigner.setEndpoints(endpoints, now);
+    std::multimap<monotonic_time, std::function<void()>> tasks;
+    const auto reply = [&](order_id order, order_outcome outcome, time_span after) {
+        tasks.emplace(now + after, [&, order, outcome] {
+            assigner.orderDone(order, { outcome, {}, connection_number(1) }, now);
+        });
+    };
+    monotonic_time lastGrantToLost{};
+    bool probed = false;
+    std::optional<monotonic_time> grantedToOther;
+    for (; now < lostAt + std::chrono::seconds(5); now += std::chrono::milliseconds(10)) {
+        while (!tasks.empty() && tasks.begin()->first <= now) {
+            const auto task = std::move(tasks.extract(tasks.begin()).mapped());
+            task();
+        }
+        for (const assigner_action &action : assigner.act(true, now)) {
+            if (const auto *grant = std::get_if<send_grant>(&action)) {
+                const bool lost = now >= lostAt && grant->endpoint.endpoint.value() == "e0";
+                lastGrantToLost = lost ? now : lastGrantToLost;
+                if (now >= lostAt && !lost && grant->keys.first < keysOfEach && !grantedToOther) {
+                    grantedToOther = now;
+                }
+                reply(grant->order, lost ? order_outcome::unanswered : order_outcome::accepted, std::chrono::milliseconds(lost ? 250 : 5));
+            } else if (const auto *release = std::get_if<send_release>(&action)) {
+                reply(release->order, order_outcome::unanswered, std::chrono::seconds(3));
+            } else if (const auto *probe = std::get_if<probe_endpoint>(&action)) {
+                probed = true;
+                reply(probe->order, order_outcome::misdirected, std::chrono::milliseconds(5));
+            } else if (const auto *write = std::get_if<write_record>(&action)) {
+                tasks.emplace(now + std::chrono::milliseconds(10), [&, revision = write->revision] {
+                    assigner.recordWritten(revision, true, now);
+                });
+            }
+        }
+    }
+    cr_expect(probed);
+    cr_assert(grantedToOther.has_value());
+    cr_expect(*grantedToOther >= lastGrantToLost + settings.grantLength);
+}
--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -124,7 +124,13 @@
     } else if (const auto *probe = std::get_if<probe_endpoint>(&action)) {
         const process *target = processAt(probe->endpoint.address);
         const bool answers = target != nullptr && target->up && !target->unreachable;
-        subject.assigner->orderDone(probe->order, { answers ? order_outcome::accepted : order_outcome::unsent, {}, {} }, m_now);
+        // Health checks name the endpoint that answers.
+        const bool own = answers && target->incarnation.endpoint == probe->endpoint.endpoint;
+        const order_outcome answered = own ? order_outcome::accepted : order_outcome::misdirected;
+        report(subject,
+               probe->order,
+               { answers ? answered : order_outcome::unsent, {}, {} },
+               randomSpan(std::chrono::milliseconds(1), std::chrono::milliseconds(15)));
     } else if (const auto *record = std::get_if<write_record>(&action)) {
         write(subject, *record);
     } else if (const auto *note = std::get_if<log_decision>(&action)) {
