Reserve more tokens for each era, and new tokens also while moves are held

Ranges whose tokens are used up got new ones only when moves are allowed, though nothing moves. Found in review, by reading.

--- a/libs/key_ownership/assigner_epoch.h
+++ b/libs/key_ownership/assigner_epoch.h
@@ -22,7 +22,7 @@
 /** Returns the lowest fencing token that an assigner with @p epoch uses: above all tokens of earlier eras, including lost ones. Thread-safe. */
 constexpr std::uint64_t firstTokenOf(std::uint64_t epoch) noexcept
 {
-    constexpr unsigned tokenBits = 32;
+    constexpr unsigned tokenBits = 40;
     return ((epoch >> claimBits) << tokenBits) + 1;
 }
 
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -163,6 +163,7 @@
 {
     nextPlan = now + settings.planInterval;
     detectEndedIncarnations();
+    renewTokens(now);
     if (!endpoints.empty() && mostEndpointsUnresponsive()) {
         movesNotBefore = now + recoveryTime;
     }
@@ -173,7 +174,6 @@
     if (endpoints.empty() || !mayAssign(now)) {
         return;
     }
-    renewTokens(now);
     const plan_input input = planInput(now);
     if (input.endpoints.empty()) {
         return;
