Forget incarnations of endpoints that nothing names any more

The assigner remembered each terminated incarnation of an endpoint for as long as it led, and followed a chain that grew with each restart under one id. They are forgotten when no assignment, order or entry of the directory names them. forgets_incarnations_that_have_been_replaced fails without the change. Found in review.

--- a/libs/key_ownership/detail/holder_expiries.cpp
+++ b/libs/key_ownership/detail/holder_expiries.cpp
@@ -29,6 +29,15 @@
     m_expiries.erase(incarnation);
 }
 
+void holder_expiries::forgetLapsed(const std::set<endpoint_incarnation> &kept, monotonic_time now)
+{
+    const auto isLapsed = [&](const auto &item) {
+        return item.second <= now && !kept.contains(item.first);
+    };
+    std::erase_if(m_expiries, isLapsed);
+    std::erase_if(m_inherited, isLapsed);
+}
+
 monotonic_time holder_expiries::expiry(const endpoint_incarnation &incarnation) const
 {
     const auto own = m_expiries.find(incarnation);
--- a/libs/key_ownership/detail/holder_expiries.h
+++ b/libs/key_ownership/detail/holder_expiries.h
@@ -3,6 +3,7 @@
 #include "directory/endpoint_entry.h"
 
 #include <map>
+#include <set>
 
 namespace sycamoretray::detail
 {
@@ -27,6 +28,9 @@
     /** Records that the process of @p incarnation has terminated and holds nothing. */
     void ended(const endpoint_incarnation &incarnation);
 
+    /** Forgets the incarnations that hold nothing at @p now, except those in @p kept. */
+    void forgetLapsed(const std::set<endpoint_incarnation> &kept, monotonic_time now);
+
     /** Returns the time from which @p incarnation is known to hold nothing. */
     monotonic_time expiry(const endpoint_incarnation &incarnation) const;
 
--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -108,6 +108,10 @@
     void recordTermination(const endpoint_incarnation &incarnation, monotonic_time now);
     void indexEndpoints();
     void detectEndedIncarnations();
+    /** Returns the incarnations that an assignment or the directory names. */
+    std::set<endpoint_incarnation> knownIncarnations() const;
+    /** Forgets incarnations that no assignment, order or entry of the directory names any more. */
+    void forgetUnreferenced(monotonic_time now);
     /**
      * Marks @p incarnation as terminated. Orders are sent to an address, so its successor may have accepted grants that were sent
      * after it terminated; the successor therefore replaces it among the possible holders of keys.
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -91,7 +91,7 @@
     }
 }
 
-void key_assigner::impl::detectEndedIncarnations()
+std::set<endpoint_incarnation> key_assigner::impl::knownIncarnations() const
 {
     std::set<endpoint_incarnation> known;
     for (const assignment &each : assignments) {
@@ -103,7 +103,36 @@
     for (const listed_endpoint &endpoint : endpoints) {
         known.insert(endpoint.entry.incarnation);
     }
-    for (const endpoint_incarnation &incarnation : known) {
+    return known;
+}
+
+void key_assigner::impl::forgetUnreferenced(monotonic_time now)
+{
+    std::set<endpoint_incarnation> referenced = knownIncarnations();
+    for (const auto &[id, order] : orders) {
+        referenced.insert(order.incarnation);
+    }
+    for (const endpoint_incarnation &incarnation : std::set<endpoint_incarnation>(referenced)) {
+        for (auto next = endedIncarnations.find(incarnation); next != endedIncarnations.end(); next = endedIncarnations.find(next->second)) {
+            referenced.insert(next->second);
+        }
+    }
+    const auto isUnreferenced = [&](const endpoint_incarnation &incarnation) {
+        return !referenced.contains(incarnation);
+    };
+    std::erase_if(endedIncarnations, [&](const auto &item) {
+        return isUnreferenced(item.first);
+    });
+    std::erase_if(terminatedIncarnations, isUnreferenced);
+    std::erase_if(grantsInFlight, [&](const auto &item) {
+        return item.second == 0 && isUnreferenced(item.first);
+    });
+    expiries.forgetLapsed(referenced, now);
+}
+
+void key_assigner::impl::detectEndedIncarnations()
+{
+    for (const endpoint_incarnation &incarnation : knownIncarnations()) {
         const endpoint_incarnation *successor = successorOf(incarnation);
         if (!incarnation.endpoint.value().empty() && !endedIncarnations.contains(incarnation) && successor != nullptr) {
             replaceIncarnation(incarnation, *successor);
@@ -317,6 +346,11 @@
     return record;
 }
 
+std::size_t key_assigner::rememberedIncarnations() const noexcept
+{
+    return d->endedIncarnations.size() + d->terminatedIncarnations.size() + d->grantsInFlight.size();
+}
+
 ownership_record key_assigner::current() const
 {
     return d->toOwnershipRecord();
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -111,6 +111,9 @@
     /** Returns the record to store when this assigner has stopped sending grants. */
     ownership_record resignation() const;
 
+    /** Returns for how many incarnations of endpoints state is kept. Does not grow with the number of restarts. */
+    std::size_t rememberedIncarnations() const noexcept;
+
     /** Returns the current state for diagnostic dumps. */
     ownership_record current() const;
 
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -163,6 +163,7 @@
 {
     nextPlan = now + settings.planInterval;
     detectEndedIncarnations();
+    forgetUnreferenced(now);
     renewTokens(now);
     if (!endpoints.empty() && mostEndpointsUnresponsive()) {
         movesNotBefore = now + recoveryTime;
--- a/tests/unit/key_ownership/key_assigner_test.cpp
+++ b/tests/unit/key_ownership/key_assigner_test.cpp
@@ -222,3 +222,19 @@
     cr_assert(grantedToOther.has_value());
     cr_expect(*grantedToOther >= lastGrantToLost + settings.grantLength);
 }
+
+// Guards against memory that grows with each restart of an endpoint.
+Test(key_assigner, forgets_incarnations_that_have_been_replaced)
+{
+    ownership_simulation simulation = faultFreeSimulation();
+    simulation.run(std::chrono::seconds(3));
+    for (int restart = 0; restart < 60; ++restart) {
+        simulation.crash(1);
+        simulation.run(std::chrono::milliseconds(200));
+        simulation.restart(1, std::chrono::milliseconds(300), restart % 2 == 0);
+        simulation.run(std::chrono::seconds(4));
+    }
+    // Each of the six endpoints, and a few for the last restart.
+    cr_expect_leq(simulation.rememberedIncarnations(), 12U);
+    cr_expect_eq(simulation.servedKeys(), ownership_simulation::watchedKeys());
+}
--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -375,6 +375,11 @@
     return served;
 }
 
+std::size_t ownership_simulation::rememberedIncarnations() const
+{
+    return m_assigners.back()->assigner->rememberedIncarnations();
+}
+
 void ownership_simulation::crash(std::size_t endpoint)
 {
     process &subject = m_processes[endpoint];
--- a/tests/unit/key_ownership/ownership_simulation.h
+++ b/tests/unit/key_ownership/ownership_simulation.h
@@ -58,6 +58,8 @@
 
     /** Number of watched keys that a reachable endpoint holds now. */
     std::size_t servedKeys() const;
+    /** Of the newest assigner; see key_assigner::rememberedIncarnations(). */
+    std::size_t rememberedIncarnations() const;
     static std::size_t watchedKeys();
 
     /** Longest time for which no endpoint held a watched key, between the first assignment and now. */
