Let instances stand in one after another after an isolation of all

The wait of a stand-in ran on while it was isolated, so that it was over for everybody at the end of the isolation.

The wait counts from the end of the isolation too. m_trusted is named m_pathStable, after what it says.

New test few_of_many_instances_stand_in_after_an_isolation_of_all fails without the change (200 of 200 joined); with it, none joins at once and 20 at most after 0.7 s.

--- a/libs/key_ownership/assigner_candidacy.cpp
+++ b/libs/key_ownership/assigner_candidacy.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace sycamoretray
 {
 
@@ -41,7 +43,7 @@
         return;
     }
     m_isolated = isolated;
-    m_trusted = false;
+    m_pathStable = false;
     m_standInNeededAt.reset();
     m_reachableSince = now;
 }
@@ -61,13 +63,15 @@
     if (m_isolated) {
         return false;
     }
-    m_trusted = m_trusted || !status.assigned || now - m_reachableSince >= stablePathTime;
-    return m_trusted && (status.relay || standsIn(status, now));
+    m_pathStable = m_pathStable || !status.assigned || now - m_reachableSince >= stablePathTime;
+    return m_pathStable && (status.relay || standsIn(status, now));
 }
 
 bool assigner_candidacy::standsIn(const assigner_status &status, monotonic_time now)
 {
-    if ((status.leads && m_standInNeededAt) || unassignedFor(now) >= standInDelay(status.instances)) {
+    // Many instances may have been isolated together. They join one after another as well.
+    const time_span waited = std::min(unassignedFor(now), now - m_reachableSince);
+    if ((status.leads && m_standInNeededAt) || waited >= standInDelay(status.instances)) {
         m_standInNeededAt = now;
     }
     return m_standInNeededAt && now - *m_standInNeededAt < standInTime;
--- a/libs/key_ownership/assigner_candidacy.h
+++ b/libs/key_ownership/assigner_candidacy.h
@@ -54,7 +54,7 @@
     bool m_preferred;
     bool m_isolated = false;
     /** The path to the endpoints was stable, or nobody assigned, since the isolation ended. */
-    bool m_trusted = true;
+    bool m_pathStable = true;
     /** When the isolation last ended. */
     monotonic_time m_reachableSince{};
     std::optional<monotonic_time> m_unassignedSince;
--- a/tests/unit/key_ownership/assigner_candidacy_test.cpp
+++ b/tests/unit/key_ownership/assigner_candidacy_test.cpp
@@ -115,6 +115,30 @@
     cr_expect_eq(count(6500ms), 200U);
 }
 
+// Guards against hundreds of instances that join at once when all of them were isolated: nobody assigned meanwhile.
+Test(assigner_candidacy, few_of_many_instances_stand_in_after_an_isolation_of_all)
+{
+    constexpr assigner_status status{ false, false, false, 200 };
+    const monotonic_time reachable = start + 10s;
+    std::size_t atOnce = 0;
+    std::size_t early = 0;
+    std::size_t late = 0;
+    for (int i = 0; i < 200; ++i) {
+        assigner_candidacy candidate(instance_id("front-" + std::to_string(i)), true);
+        monotonic_time now = start;
+        candidate.setIsolated(true, now);
+        ask(candidate, status, now, reachable);
+        candidate.setIsolated(false, reachable);
+        atOnce += candidate.participates(status, reachable) ? 1 : 0;
+        early += candidate.participates(status, reachable + 700ms) ? 1 : 0;
+        late += candidate.participates(status, reachable + 6500ms) ? 1 : 0;
+    }
+    cr_expect_eq(atOnce, 0U, "%zu joined", atOnce);
+    // A claim and its first record take some 0.1 s after the first join.
+    cr_expect(early >= 1 && early <= 20, "%zu joined", early);
+    cr_expect_eq(late, 200U);
+}
+
 // Guards against an assigner on a small instance while larger ones can take the role.
 Test(assigner_candidacy, small_instances_stand_in_last)
 {
