Confirm an isolation only by probes that failed

An instance could take itself for isolated without a single probe: six failed connections in one batch of events were enough, for example when endpoints of two zones crash together, or after a pause of the process. It would resign as the assigner and abort idempotent requests, while 52 of 60 endpoints had just answered. The decision asked that no probe was open, not that any had been made.

Failures raise the suspicion only. The decision asks for both rounds of probes, none of which succeeded. Lost connections count neither as failed probes nor for the decision; probes go to other endpoints first. isProven is named isIsolationConfirmed.

New tests: crashes_of_several_endpoints_are_not_isolation fails without the condition on the rounds, lost_connections_do_not_decide_probes fails if lost connections count as failures.

--- a/apps/sycamoretrayd/gateway/isolation_monitor.cpp
+++ b/apps/sycamoretrayd/gateway/isolation_monitor.cpp
@@ -48,9 +48,11 @@
             break;
         case connection_event::refused:
         case connection_event::connect_timed_out:
-        case connection_event::lost:
             detector.failed(endpoint, now);
             break;
+        case connection_event::lost:
+            detector.lost(endpoint, now);
+            break;
         case connection_event::unanswered:
             break;
         }
--- a/libs/gateway/endpoint_isolation_detector.cpp
+++ b/libs/gateway/endpoint_isolation_detector.cpp
@@ -15,7 +15,9 @@
 constexpr std::size_t firstProbes = 2;
 constexpr std::size_t furtherProbes = 6;
 constexpr time_span firstProbesTime = std::chrono::milliseconds(100);
-// Endpoints that have to fail, unless fewer are registered.
+// Rounds of probes that have to fail, the first and a further one.
+constexpr std::size_t roundsNeeded = 2;
+// Endpoints that have to refuse connections or leave them unanswered, unless fewer are registered.
 constexpr std::size_t failedEndpointsNeeded = 6;
 constexpr std::size_t probesWhileIsolated = 4;
 constexpr time_span isolatedProbeInterval = std::chrono::milliseconds(250);
@@ -41,9 +43,11 @@
         each.zone = endpoint.entry.zone;
     }
     m_candidates = std::move(candidates);
-    std::erase_if(m_failed, [this](const network_address &address) {
+    const auto isUnknown = [this](const network_address &address) {
         return !m_candidates.contains(address);
-    });
+    };
+    std::erase_if(m_failed, isUnknown);
+    std::erase_if(m_lost, isUnknown);
     if (m_candidates.empty()) {
         refute(now);
     }
@@ -81,6 +85,7 @@
 {
     m_probing.erase(endpoint);
     m_failed.erase(endpoint);
+    m_lost.erase(endpoint);
     if (!m_isolatedSince) {
         if (m_suspicious) {
             refute(now);
@@ -100,16 +105,32 @@
 {
     m_probing.erase(endpoint);
     m_connected.erase(endpoint);
+    if (!raiseSuspicion(now)) {
+        return;
+    }
+    if (m_candidates.contains(endpoint)) {
+        m_failed.insert(endpoint);
+    }
+}
+
+void endpoint_isolation_detector::lost(const network_address &endpoint, monotonic_time now)
+{
+    m_connected.erase(endpoint);
+    if (raiseSuspicion(now) && m_candidates.contains(endpoint)) {
+        m_lost.insert(endpoint);
+    }
+}
+
+bool endpoint_isolation_detector::raiseSuspicion(monotonic_time now)
+{
     if (!isSuspicious()) {
         m_failureSeen = true;
         if (now < m_noSuspicionUntil) {
-            return;
+            return false;
         }
         suspect(now);
     }
-    if (m_candidates.contains(endpoint)) {
-        m_failed.insert(endpoint);
-    }
+    return true;
 }
 
 void endpoint_isolation_detector::suspect(monotonic_time now)
@@ -118,6 +139,7 @@
     m_failureSeen = false;
     m_rounds = 0;
     m_failed.clear();
+    m_lost.clear();
     m_probing.clear();
     m_nextProbesAt = m_suspicious ? now : monotonic_time::max();
 }
@@ -128,6 +150,7 @@
     m_isolatedSince.reset();
     m_failureSeen = false;
     m_failed.clear();
+    m_lost.clear();
     m_probing.clear();
     m_connected.clear();
     m_nextProbesAt = monotonic_time::max();
@@ -135,9 +158,10 @@
     m_pause = longPause;
 }
 
-bool endpoint_isolation_detector::isProven() const
+bool endpoint_isolation_detector::isIsolationConfirmed() const
 {
-    if (!m_probing.empty() || m_failed.size() < std::min(failedEndpointsNeeded, m_candidates.size())) {
+    // Endpoints that crash together fail several requests before any probe is made.
+    if (m_rounds < roundsNeeded || !m_probing.empty() || m_failed.size() < std::min(failedEndpointsNeeded, m_candidates.size())) {
         return false;
     }
     std::set<availability_zone> all;
@@ -167,7 +191,7 @@
         m_nextProbesAt = now + isolatedProbeInterval;
         return startProbes(probesWhileIsolated, now);
     }
-    if (isProven()) {
+    if (isIsolationConfirmed()) {
         m_isolatedSince = now;
         m_nextProbesAt = now + isolatedProbeInterval;
         return {};
@@ -194,7 +218,7 @@
             }
             // Endpoints that answered last are most likely to be in order. While isolated, all get their turn.
             const time_span age = m_isolatedSince ? each.probedAt - monotonic_time{} : now - each.answeredAt;
-            const std::tuple rank(m_failed.contains(address), services[each.service] + zones[each.zone], age);
+            const std::tuple rank(m_failed.contains(address) || m_lost.contains(address), services[each.service] + zones[each.zone], age);
             if (!bestRank || rank < *bestRank) {
                 bestRank = rank;
                 best = &address;
--- a/libs/gateway/endpoint_isolation_detector.h
+++ b/libs/gateway/endpoint_isolation_detector.h
@@ -17,7 +17,7 @@
  * Decides whether this instance is isolated: it reaches no endpoint, although it runs and others may reach it.
  *
  * Failures and missing answers only raise a suspicion, as endpoints crash, are slow and get no traffic. While suspicious, the detector
- * asks for probes, which open a connection and close it. It decides on isolation when all probes and requests since then failed at
+ * asks for probes, which open a connection and close it. It decides on isolation when two rounds of probes failed, and none succeeded, at
  * several endpoints in different availability zones and services, and on the end of it when endpoints accept connections again.
  * Answers on connections that were opened before do not count, because new connections can fail while those live on.
  *
@@ -37,8 +37,10 @@
     void answered(const network_address &endpoint, monotonic_time now);
     /** A connection was opened, for a request or a probe. */
     void connected(const network_address &endpoint, monotonic_time now);
-    /** A connection could not be opened, for a request or a probe, or was lost. */
+    /** A connection could not be opened, for a request or a probe. */
     void failed(const network_address &endpoint, monotonic_time now);
+    /** An established connection was lost. */
+    void lost(const network_address &endpoint, monotonic_time now);
 
     /** Processes what is due and returns the endpoints to probe. Reports connected() or failed() for each within 250 ms. */
     std::vector<network_address> advance(monotonic_time now);
@@ -61,7 +63,7 @@
     /** Returns whether no endpoint has answered a request, an order or a health check for 200 ms. */
     bool isSilent(monotonic_time now) const noexcept;
 
-    /** Number of endpoints that failed since the suspicion arose. */
+    /** Number of endpoints to which no connection could be opened since the suspicion arose. */
     std::size_t failedEndpoints() const noexcept
     {
         return m_failed.size();
@@ -83,12 +85,17 @@
     monotonic_time silenceDue() const;
     void suspect(monotonic_time now);
     void refute(monotonic_time now);
-    bool isProven() const;
+    /** Returns whether a suspicion is raised, now or before. */
+    bool raiseSuspicion(monotonic_time now);
+    bool isIsolationConfirmed() const;
     std::vector<network_address> startProbes(std::size_t count, monotonic_time now);
 
     std::map<network_address, candidate> m_candidates;
     std::map<network_address, open_requests> m_open;
+    /** Endpoints to which no connection could be opened since the suspicion arose. */
     std::set<network_address> m_failed;
+    /** Endpoints that lost a connection since the suspicion arose. */
+    std::set<network_address> m_lost;
     std::set<network_address> m_probing;
     /** Endpoints that accepted a connection while isolated, with the time. */
     std::map<network_address, monotonic_time> m_connected;
--- a/tests/unit/gateway/endpoint_isolation_detector_test.cpp
+++ b/tests/unit/gateway/endpoint_isolation_detector_test.cpp
@@ -187,6 +187,39 @@
     }
 }
 
+// Guards against an instance that takes endpoints that crash together for its own isolation, if it learns of all of them before it can probe one.
+Test(endpoint_isolation_detector, crashes_of_several_endpoints_are_not_isolation)
+{
+    for (const bool connecting : { false, true }) {
+        simulated_instance instance(60);
+        instance.run(std::chrono::seconds(5), twelveASecond);
+        for (std::size_t i = 0; i < 8; ++i) {
+            const network_address &address = instance.addresses[i];
+            instance.newConnections[address] = path_state::refuses;
+            instance.established[address] = path_state::refuses;
+            connecting ? instance.detector.failed(address, instance.now) : instance.detector.lost(address, instance.now);
+        }
+        cr_expect_not(instance.detector.advance(instance.now).empty(), "probes other endpoints");
+        cr_expect_not(instance.detector.isolatedSince());
+        instance.run(std::chrono::seconds(10), twelveASecond);
+        cr_expect_not(instance.wasIsolated);
+    }
+}
+
+// Guards against a probe that counts as failed because an older connection to the same endpoint was lost meanwhile.
+Test(endpoint_isolation_detector, lost_connections_do_not_decide_probes)
+{
+    simulated_instance instance(2);
+    instance.detector.lost(instance.addresses[0], instance.now);
+    for (int round = 0; round < 3; ++round) {
+        for (const network_address &address : instance.detector.advance(instance.now)) {
+            instance.detector.lost(address, instance.now);
+        }
+        instance.now += milliseconds(100);
+    }
+    cr_expect_not(instance.detector.isolatedSince());
+}
+
 // Guards against isolation, and constant probes, while all endpoints are slow or there is no traffic.
 Test(endpoint_isolation_detector, slow_answers_and_no_traffic_are_not_isolation)
 {
