Write that an assigner has stopped although an earlier one may send grants

Keys would lapse for the length of a cut: an assigner that took over less than 13 s ago from one that did not confirm becomes isolated, and all relays with it. It wrote no resignation, so that its successor would wait for the earlier assigner; the records named it still, and no other instance stood in.

The record says now that its assigner has stopped while an earlier one may send. This counts as unassigned, and the successor waits and asks as before. An instance that takes the role again within these 13 s waits and asks the earlier assigner again as well; it took its own record for a confirmation. Older versions take such a record for that of an assigner that goes on, as before.

New test instance_that_is_no_relay_takes_over_from_an_isolated_successor fails without it (nobody within 4 s); with it, another instance takes over within 1 s, three times of three. isolated_roles_test three times without a failure. In ownership_runner_test, nobody_stands_in_if_no_service_is_divided_by_key failed once of four times, on a machine with a load of 22; its service needs no assigner, which this change does not concern.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -350,10 +350,11 @@
         logEvent("assigner_started", { { "epoch", std::to_string(epoch) } });
         appender = std::make_unique<ownership_appender>(environment.store, executor, epoch, appendObserver());
         pathEvidence = {};
-        previousAssigner = network_address();
-        previousAssignerStopped = true;
+        // An earlier assigner that may still send is asked again if this instance takes the role a second time.
+        previousAssignerStopped = steadyNow() >= earlierAssignerSendsUntil;
         for (const auto &[service, record] : environment.feeds.ownership().records()) {
-            if (!record.resigned && !(record.assigner == settings.internalAddress)) {
+            const bool other = !(record.assigner == settings.internalAddress);
+            if (!record.resigned && (other || (record.stopped && previousAssignerStopped))) {
                 previousAssigner = record.assigner;
                 previousAssignerStopped = false;
             }
@@ -525,19 +526,19 @@
 
     // --- shutdown ---
 
-    /** Stops sending orders for good under the present epoch. A successor does not wait for the grants of a resigned assigner to expire. */
+    /**
+     * Stops sending orders for good under the present epoch. A successor does not wait for the grants of a resigned assigner to expire, unless an
+     * earlier assigner may send some.
+     */
     void resign()
     {
         if (!isLeader()) {
             return;
         }
-        if (steadyNow() < earlierAssignerSendsUntil) {
-            // The successor has to wait for the earlier assigner as well.
-            return;
-        }
+        const bool earlierMaySend = steadyNow() < earlierAssignerSendsUntil;
         std::vector<ownership_record> resignations;
         for (const auto &[service, assigner] : assigners) {
-            resignations.push_back(assigner->resignation());
+            resignations.push_back(assigner->resignation(earlierMaySend));
         }
         assigners.clear();
         appender->resign(std::move(resignations));
--- a/apps/sycamoretrayd/gateway/upstream_relay.cpp
+++ b/apps/sycamoretrayd/gateway/upstream_relay.cpp
@@ -10,7 +10,7 @@
     }
     const ownership_record *newest = nullptr;
     for (const auto &[service, record] : ownership.records()) {
-        if (!record.resigned && (newest == nullptr || record.epoch > newest->epoch)) {
+        if (!record.resigned && !record.stopped && (newest == nullptr || record.epoch > newest->epoch)) {
             newest = &record;
         }
     }
--- a/libs/key_ownership/current_assigner.cpp
+++ b/libs/key_ownership/current_assigner.cpp
@@ -15,7 +15,7 @@
             newestEpoch = record.epoch;
             assigner.reset();
         }
-        if (!record.resigned) {
+        if (!record.resigned && !record.stopped) {
             assigner = record.assigner;
         }
     }
--- a/libs/key_ownership/current_assigner.h
+++ b/libs/key_ownership/current_assigner.h
@@ -8,7 +8,7 @@
 {
 
 /**
- * Returns the internal address of the assigner with the newest epoch; nothing if it has resigned for all services that it assigned, or if there are
+ * Returns the internal address of the assigner with the newest epoch; nothing if it has stopped for all services that it assigned, or if there are
  * no records. Thread-safe.
  */
 std::optional<network_address> currentAssigner(const ownership_view &ownership);
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -338,10 +338,11 @@
     return std::exchange(d->actions, {});
 }
 
-ownership_record key_assigner::resignation() const
+ownership_record key_assigner::resignation(bool earlierMaySend) const
 {
     ownership_record record = d->toOwnershipRecord();
-    record.resigned = true;
+    record.resigned = !earlierMaySend;
+    record.stopped = earlierMaySend;
     ++record.revision;
     return record;
 }
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -108,8 +108,12 @@
      */
     std::vector<assigner_action> act(bool mayDecide, monotonic_time now);
 
-    /** Returns the record to store when this assigner has stopped sending grants. */
-    ownership_record resignation() const;
+    /**
+     * Returns the record to store when this assigner has stopped sending grants.
+     *
+     * @param earlierMaySend  whether an earlier assigner may still send grants
+     */
+    ownership_record resignation(bool earlierMaySend) const;
 
     /** Returns for how many incarnations of endpoints state is kept. Does not grow with the number of restarts. */
     std::size_t rememberedIncarnations() const noexcept;
--- a/libs/key_ownership/ownership_record.cpp
+++ b/libs/key_ownership/ownership_record.cpp
@@ -112,7 +112,8 @@
                                     record.resigned,
                                     record.instances,
                                     record.nextToken,
-                                    record.grantLength.count() }));
+                                    record.grantLength.count(),
+                                    record.stopped }));
 }
 
 std::optional<ownership_record> decodeOwnershipHeader(std::string_view data)
@@ -128,6 +129,7 @@
         record.instances = std::max(1U, document.at(5).get<std::uint32_t>());
         record.nextToken = document.at(6).get<std::uint64_t>();
         record.grantLength = time_span(document.at(7).get<std::int64_t>());
+        record.stopped = document.size() > 8 && document.at(8).get<bool>();
         return record;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/libs/key_ownership/ownership_record.h
+++ b/libs/key_ownership/ownership_record.h
@@ -59,8 +59,10 @@
     std::uint64_t revision = 0;
     /** Internal address of that assigner, to which load reports are sent. */
     network_address assigner;
-    /** The assigner has stopped and sends no more grants. */
+    /** The assigner has stopped, and neither it nor an earlier one sends grants. */
     bool resigned = false;
+    /** The assigner has stopped, but an earlier one may send grants. Older versions take it for an assigner that goes on. */
+    bool stopped = false;
     /** Validity of the grants that the assigner sends. */
     time_span grantLength{};
     /** Number of instances with a recent load report. */
--- a/tests/unit/ownership_runner/isolated_roles_test.cpp
+++ b/tests/unit/ownership_runner/isolated_roles_test.cpp
@@ -44,6 +44,28 @@
     cr_expect(site.relays() == isolated, "isolated relays read the store for their zones all the same");
 }
 
+// Guards against keys that nobody assigns, because an assigner that has just taken over from a lost one is isolated, and the lost one may still send.
+Test(isolated_roles, instance_that_is_no_relay_takes_over_from_an_isolated_successor)
+{
+    elected_site site({ 3, 3, 1 });
+    electing_instance *lost = site.runUntilAssigned();
+    cr_assert_not_null(lost);
+    std::erase_if(site.instances(), [lost](const auto &each) {
+        return each.get() == lost;
+    });
+    cr_assert(site.runUntilAssignerOtherThan(nullptr, 3s).has_value());
+    // A lost relay is replaced after 2 s.
+    site.run(3s);
+    const std::vector<electing_instance *> isolated = site.relays();
+    for (electing_instance *each : isolated) {
+        each->runner.setIsolated(true);
+    }
+    const auto replaced = site.runUntilAssignerOtherThan(nullptr, 4s);
+    cr_assert(replaced.has_value());
+    cr_expect(std::find(isolated.begin(), isolated.end(), site.assigner()) == isolated.end());
+    cr_expect(*replaced < 1s);
+}
+
 // Guards against keys that stay unassigned after all instances were isolated, and against zones without a relay meanwhile.
 Test(isolated_roles, keys_are_assigned_again_after_all_instances_were_isolated)
 {
