End an isolation when one endpoint accepts connections again and again

One endpoint that accepts two connections, at least 0.25 s apart, ends the isolation as well. Endpoints that accepted one are probed again first, then those that started since, then all in turn. An endpoint that accepted a connection counts as reached, so that the next suspicion asks it first and does not end in isolation again.

New tests ends_with_one_endpoint_up and restarted_endpoints_are_probed_first_while_isolated fail without their part of the change. With it, the isolation ends 1.76 s after one of 20 endpoints is up, and 0.51 s after two of 60 have restarted, at the latest.

--- a/libs/gateway/endpoint_isolation_detector.cpp
+++ b/libs/gateway/endpoint_isolation_detector.cpp
@@ -21,8 +21,9 @@
 constexpr std::size_t failedEndpointsNeeded = 6;
 constexpr std::size_t probesWhileIsolated = 4;
 constexpr time_span isolatedProbeInterval = std::chrono::milliseconds(250);
-// Endpoints that have to accept a connection, at about the same time, for the end of the isolation.
+// For the end of the isolation, this many endpoints have to accept a connection at about the same time, or one endpoint again after some time.
 constexpr std::size_t connectedEndpointsNeeded = 2;
+constexpr time_span reconnectionTime = std::chrono::milliseconds(250);
 constexpr time_span connectedWindow = std::chrono::seconds(1);
 // Time without suspicion after one was refuted; doubled once if there was still no answer, for instances with few and long requests.
 constexpr time_span shortPause = std::chrono::milliseconds(500);
@@ -36,9 +37,14 @@
     for (const auto &[id, endpoint] : endpoints) {
         const network_address &address = endpoint.entry.incarnation.address;
         candidate &each = candidates[address];
-        if (const auto known = m_candidates.find(address); known != m_candidates.end()) {
+        const auto known = m_candidates.find(address);
+        if (known != m_candidates.end() && known->second.startedAtMs == endpoint.entry.incarnation.startedAtMs) {
             each = known->second;
+        } else {
+            m_failed.erase(address);
+            m_lost.erase(address);
         }
+        each.startedAtMs = endpoint.entry.incarnation.startedAtMs;
         each.service = endpoint.entry.service;
         each.zone = endpoint.entry.zone;
     }
@@ -66,7 +72,7 @@
     m_answeredAt = now;
     m_pause = shortPause;
     if (const auto found = m_candidates.find(endpoint); found != m_candidates.end()) {
-        found->second.answeredAt = now;
+        found->second.reachedAt = now;
     }
     if (const auto open = m_open.find(endpoint); open != m_open.end()) {
         open->second.silentSince = now;
@@ -86,17 +92,22 @@
     m_probing.erase(endpoint);
     m_failed.erase(endpoint);
     m_lost.erase(endpoint);
+    if (const auto found = m_candidates.find(endpoint); found != m_candidates.end()) {
+        found->second.reachedAt = now;
+    }
     if (!m_isolatedSince) {
         if (m_suspicious) {
             refute(now);
         }
         return;
     }
-    m_connected[endpoint] = now;
     std::erase_if(m_connected, [now](const auto &item) {
-        return now - item.second > connectedWindow;
+        return now - item.second.last > connectedWindow;
     });
-    if (m_connected.size() >= std::min(connectedEndpointsNeeded, m_candidates.size())) {
+    accepted_connections &accepted = m_connected.try_emplace(endpoint, accepted_connections{ now, now }).first->second;
+    accepted.last = now;
+    const bool again = now - accepted.first >= reconnectionTime;
+    if (again || m_connected.size() >= std::min(connectedEndpointsNeeded, m_candidates.size())) {
         refute(now);
     }
 }
@@ -204,21 +215,32 @@
     return startProbes(first ? firstProbes : furtherProbes, now);
 }
 
+endpoint_isolation_detector::probe_rank endpoint_isolation_detector::rankOf(const network_address &address,
+                                                                            const candidate &each,
+                                                                            std::size_t similar,
+                                                                            monotonic_time now) const
+{
+    if (m_isolatedSince) {
+        // Endpoints that accepted a connection are asked again, new ones come next, and all get their turn.
+        return { m_connected.contains(address) ? 0 : 1, each.probedAt - monotonic_time{}, similar, time_span::zero() };
+    }
+    // Endpoints that were reached last are most likely to be in order.
+    return { m_failed.contains(address) || m_lost.contains(address) ? 1 : 0, time_span::zero(), similar, now - each.reachedAt };
+}
+
 std::vector<network_address> endpoint_isolation_detector::startProbes(std::size_t count, monotonic_time now)
 {
     std::vector<network_address> result;
     std::map<service_id, std::size_t> services;
     std::map<availability_zone, std::size_t> zones;
     while (result.size() < count) {
-        std::optional<std::tuple<bool, std::size_t, time_span>> bestRank;
+        std::optional<probe_rank> bestRank;
         const network_address *best = nullptr;
         for (const auto &[address, each] : m_candidates) {
             if (m_probing.contains(address)) {
                 continue;
             }
-            // Endpoints that answered last are most likely to be in order. While isolated, all get their turn.
-            const time_span age = m_isolatedSince ? each.probedAt - monotonic_time{} : now - each.answeredAt;
-            const std::tuple rank(m_failed.contains(address) || m_lost.contains(address), services[each.service] + zones[each.zone], age);
+            const probe_rank rank = rankOf(address, each, services[each.service] + zones[each.zone], now);
             if (!bestRank || rank < *bestRank) {
                 bestRank = rank;
                 best = &address;
--- a/libs/gateway/endpoint_isolation_detector.h
+++ b/libs/gateway/endpoint_isolation_detector.h
@@ -5,9 +5,11 @@
 #include "directory/endpoint_directory.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace sycamoretray
@@ -73,8 +75,11 @@
     struct candidate {
         service_id service;
         availability_zone zone;
+        std::uint64_t startedAtMs = 0;
+        /** Zero if not probed since the endpoint started. */
         monotonic_time probedAt{};
-        monotonic_time answeredAt{};
+        /** When it last answered or accepted a connection. */
+        monotonic_time reachedAt{};
     };
     struct open_requests {
         std::size_t count = 0;
@@ -82,12 +87,20 @@
         monotonic_time silentSince{};
     };
 
+    struct accepted_connections {
+        monotonic_time first{};
+        monotonic_time last{};
+    };
+    /** Endpoints with the lowest rank are probed: class, time since the last probe, number of similar endpoints probed with it, time since it was reached. */
+    using probe_rank = std::tuple<int, time_span, std::size_t, time_span>;
+
     monotonic_time silenceDue() const;
     void suspect(monotonic_time now);
     void refute(monotonic_time now);
     /** Returns whether a suspicion is raised, now or before. */
     bool raiseSuspicion(monotonic_time now);
     bool isIsolationConfirmed() const;
+    probe_rank rankOf(const network_address &address, const candidate &each, std::size_t similar, monotonic_time now) const;
     std::vector<network_address> startProbes(std::size_t count, monotonic_time now);
 
     std::map<network_address, candidate> m_candidates;
@@ -97,8 +110,8 @@
     /** Endpoints that lost a connection since the suspicion arose. */
     std::set<network_address> m_lost;
     std::set<network_address> m_probing;
-    /** Endpoints that accepted a connection while isolated, with the time. */
-    std::map<network_address, monotonic_time> m_connected;
+    /** Endpoints that have accepted connections while isolated, without a failure since. */
+    std::map<network_address, accepted_connections> m_connected;
     monotonic_time m_answeredAt{};
     monotonic_time m_noSuspicionUntil{};
     time_span m_pause{};
--- a/tests/unit/gateway/endpoint_isolation_detector_test.cpp
+++ b/tests/unit/gateway/endpoint_isolation_detector_test.cpp
@@ -164,6 +164,40 @@
     cr_expect(!instance.detector.isSuspicious());
 }
 
+// Guards against an instance that stays isolated because all endpoints but one are down.
+Test(endpoint_isolation_detector, ends_with_one_endpoint_up)
+{
+    for (std::size_t up = 0; up < 20; ++up) {
+        simulated_instance instance(20);
+        instance.setAll(path_state::refuses, path_state::silent);
+        instance.run(std::chrono::seconds(4), twelveASecond);
+        cr_expect(instance.detector.isolatedSince().has_value());
+        instance.newConnections[instance.addresses[up]] = path_state::works;
+        // Four endpoints are probed every 0.25 s.
+        instance.run(milliseconds(1250 + 2 * 250 + 10), twelveASecond);
+        cr_expect_not(instance.detector.isolatedSince(), "%zu", up);
+    }
+}
+
+// Guards against endpoints that have just started and are probed last.
+Test(endpoint_isolation_detector, restarted_endpoints_are_probed_first_while_isolated)
+{
+    for (std::size_t first = 0; first < 58; ++first) {
+        simulated_instance instance(60);
+        instance.setAll(path_state::silent, path_state::silent);
+        instance.run(std::chrono::seconds(6), twelveASecond);
+        cr_expect(instance.detector.isolatedSince().has_value());
+        for (const std::size_t i : { first, first + 2 }) {
+            instance.listed[endpoint_id("e" + std::to_string(i))].entry.incarnation.startedAtMs = 2;
+            instance.newConnections[instance.addresses[i]] = path_state::works;
+        }
+        instance.detector.setEndpoints(instance.listed, instance.now);
+        // Probes of the former processes may be open.
+        instance.run(milliseconds(250 + 250 + 10), twelveASecond);
+        cr_expect_not(instance.detector.isolatedSince(), "%zu", first);
+    }
+}
+
 // Guards against an instance that takes the crash of one service, or of one zone's endpoints, for its own isolation.
 Test(endpoint_isolation_detector, crash_of_a_service_or_a_zone_is_not_isolation)
 {
