Stand in for an assigner that was killed while all relays are isolated

All keys would lapse until a relay was reachable again for 2 s: the assigner, or an instance that stands in for it, is killed during a long cut of all relays. The record named it still, so that no instance saw that nobody assigns, and no member of the election was left to replace it.

Each instance asks the assigner that the records name whether it still assigns: with the request that a new assigner sends to the former one, which an assigner of this epoch refuses. No answer for 2 s, or the answer of a later process that it has stopped, counts as unassigned.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -296,7 +296,7 @@
     return { store,
              feeds,
              endpoints,
-             [this](const network_address &assigner, std::uint64_t epoch, std::function<void(bool)> done) {
+             [this](const network_address &assigner, std::uint64_t epoch, std::function<void(assigner_stop_answer)> done) {
                  stopClient.requestStop(assigner, epoch, std::move(done));
              },
              [this] {
--- a/apps/sycamoretrayd/gateway/internal_api.cpp
+++ b/apps/sycamoretrayd/gateway/internal_api.cpp
@@ -114,7 +114,7 @@
 
 assigner_stop_client::~assigner_stop_client() = default;
 
-void assigner_stop_client::requestStop(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done)
+void assigner_stop_client::requestStop(const network_address &assigner, std::uint64_t epoch, std::function<void(assigner_stop_answer answer)> done)
 {
     std::unique_ptr<http_connection_pool> &pool = d->pools[assigner];
     if (!pool) {
@@ -126,7 +126,9 @@
     std::string wire;
     appendRequest(wire, "POST", std::string(stopTarget) + std::to_string(epoch), { { "Host", assigner.value() } }, {}, {});
     pool->exchange(std::move(wire), false, stopTimeout, [done = std::move(done)](const http_exchange_result &result) {
-        done(result.code == result_code::ok && result.response.status == 200);
+        const bool refused = result.code == result_code::ok && result.response.status == httpConflict;
+        const bool stopped = result.code == result_code::ok && result.response.status == 200;
+        done(stopped ? assigner_stop_answer::stopped : refused ? assigner_stop_answer::refused : assigner_stop_answer::unanswered);
     });
 }
 
--- a/apps/sycamoretrayd/gateway/internal_api.h
+++ b/apps/sycamoretrayd/gateway/internal_api.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "executor/serial_executor.h"
 #include "http_entry/http_server.h"
+#include "key_ownership/assigner_watch.h"
 #include "observability/metrics.h"
 
 #include <functional>
@@ -67,8 +68,8 @@
     assigner_stop_client(const assigner_stop_client &) = delete;
     assigner_stop_client &operator=(const assigner_stop_client &) = delete;
 
-    /** Asks @p assigner to stop if its epoch is lower than @p epoch; @p stopped is false if the request is refused or gets no answer. */
-    void requestStop(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done);
+    /** Asks @p assigner to stop if its epoch is lower than @p epoch. */
+    void requestStop(const network_address &assigner, std::uint64_t epoch, std::function<void(assigner_stop_answer answer)> done);
 
 private:
     struct impl;
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -3,6 +3,7 @@
 #include "executor/steady_time.h"
 #include "key_ownership/assigner_candidacy.h"
 #include "key_ownership/assigner_epoch.h"
+#include "key_ownership/assigner_watch.h"
 #include "key_ownership/current_assigner.h"
 #include "key_ownership/key_assigner.h"
 #include "key_ownership/leadership_machine.h"
@@ -49,6 +50,7 @@
         , settings(std::move(givenSettings))
         , environment(std::move(givenEnvironment))
         , candidacy(settings.instance, isRelayCandidate(settings.processorShare))
+        , assignerWatch(settings.instance)
     {
     }
 
@@ -61,10 +63,11 @@
     monotonic_time startedAt{};
     std::optional<relay_standby> standby;
     assigner_candidacy candidacy;
+    assigner_watch assignerWatch;
     /** This instance was the relay of its zone at the last join of its group. */
     bool relaying = false;
-    /** The election was hurried since the last assigner resigned. */
-    bool electionHurried = false;
+    /** This instance has joined the election outside the regular times, if it takes part, since nobody assigns. */
+    bool joinedAfterResignation = false;
     /** Group that elects the relay of the zone. */
     std::unique_ptr<group_membership> zoneGroup;
     /** Group that elects the assigner; set while this instance takes part in the election. */
@@ -103,6 +106,7 @@
     void tick()
     {
         const monotonic_time now = steadyNow();
+        watchAssigner(now);
         updateCandidacy(now);
         const bool participates = standby->participates({ environment.feeds.relays().contains(settings.zone), environment.relayFailureDuration() }, now);
         if (!zoneGroup && participates) {
@@ -146,19 +150,56 @@
         return routes && std::any_of(routes->services().begin(), routes->services().end(), isDivided);
     }
 
-    /** Returns whether an instance assigns keys, or no keys were ever assigned, or there are none. */
-    bool isAssigned() const
+    /** Returns the instance that assigns keys according to the records, unless it is this one. */
+    std::optional<recorded_assigner> otherAssigner() const
     {
         const ownership_view &ownership = environment.feeds.ownership();
         const auto assigner = currentAssigner(ownership);
-        return isLeader() || ownership.records().empty() || !needsAssigner() || (assigner && !(*assigner == settings.internalAddress));
+        if (!assigner || *assigner == settings.internalAddress) {
+            return std::nullopt;
+        }
+        recorded_assigner result{ *assigner, 0 };
+        for (const auto &[service, record] : ownership.records()) {
+            result.epoch = std::max(result.epoch, record.epoch);
+        }
+        return result;
+    }
+
+    std::size_t instanceCount() const
+    {
+        return std::max<std::size_t>(1, candidateCount(environment.feeds.instances()));
+    }
+
+    /** Asks the assigner from time to time whether it runs. An instance that cannot replace it need not know. */
+    void watchAssigner(monotonic_time now)
+    {
+        const auto assigner = otherAssigner();
+        const bool relevant = needsAssigner() && !isLeader() && !candidacy.isIsolated();
+        assignerWatch.watch(relevant ? assigner : std::nullopt, instanceCount(), now);
+        if (!assignerWatch.takeDueQuestion(now)) {
+            return;
+        }
+        // An instance that assigns under this epoch, or a later one, refuses.
+        environment.requestAssignerStop(assigner->address, assigner->epoch, [weak = weak_from_this(), asked = *assigner](assigner_stop_answer answer) {
+            if (const auto self = weak.lock()) {
+                self->assignerWatch.answered(asked, answer, steadyNow());
+            }
+        });
+    }
+
+    /** Returns whether an instance assigns keys, or no keys were ever assigned, or there are none. */
+    bool isAssigned(monotonic_time now)
+    {
+        if (isLeader() || environment.feeds.ownership().records().empty() || !needsAssigner()) {
+            return true;
+        }
+        return otherAssigner() && !assignerWatch.isLost(now);
     }
 
     /** Joins or leaves the election of the assigner. */
     void updateCandidacy(monotonic_time now)
     {
-        const std::size_t instances = std::max<std::size_t>(1, candidateCount(environment.feeds.instances()));
-        const bool participates = candidacy.participates({ isAssigned(), isLeader(), relaying, instances }, now);
+        const bool participates = candidacy.participates({ isAssigned(now), isLeader(), relaying, instanceCount() }, now);
         if (participates && !assignerGroup) {
             joinAssignerGroup();
         } else if (!participates && assignerGroup) {
@@ -166,10 +207,10 @@
         }
         // The first member that joins after a resignation is the successor.
         const bool unassigned = candidacy.unassignedFor(now) > time_span::zero();
-        if (unassigned && !electionHurried && assignerGroup && !assignerGroup->isLeader()) {
+        if (unassigned && !joinedAfterResignation && assignerGroup && !assignerGroup->isLeader()) {
             assignerGroup->joinNow();
         }
-        electionHurried = unassigned;
+        joinedAfterResignation = unassigned;
     }
 
     void joinZoneGroup()
@@ -370,9 +411,9 @@
             return;
         }
         nextStopRequest = now + stopRequestInterval;
-        environment.requestAssignerStop(previousAssigner, epoch, [weak = weak_from_this(), asked = epoch](bool answer) {
+        environment.requestAssignerStop(previousAssigner, epoch, [weak = weak_from_this(), asked = epoch](assigner_stop_answer answer) {
             const auto self = weak.lock();
-            if (!answer || !self || self->stopped || self->epoch != asked || self->previousAssignerStopped) {
+            if (answer != assigner_stop_answer::stopped || !self || self->stopped || self->epoch != asked || self->previousAssignerStopped) {
                 return;
             }
             self->previousAssignerStopped = true;
--- a/apps/sycamoretrayd/gateway/ownership_runner.h
+++ b/apps/sycamoretrayd/gateway/ownership_runner.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "executor/serial_executor.h"
+#include "key_ownership/assigner_watch.h"
 #include "key_ownership/key_load.h"
 #include "metadata_store/metadata_store.h"
 #include "sycamoretrayd/gateway/endpoint_connections.h"
@@ -32,8 +33,8 @@
     metadata_store &store;
     store_feeds &feeds;
     endpoint_connections &endpoints;
-    /** Asks the assigner at the address to stop if its epoch is lower than @p epoch; @p stopped is true if it is certain to send nothing more. */
-    std::function<void(const network_address &assigner, std::uint64_t epoch, std::function<void(bool stopped)> done)> requestAssignerStop;
+    /** Asks the assigner at the address to stop if its epoch is lower than @p epoch. */
+    std::function<void(const network_address &assigner, std::uint64_t epoch, std::function<void(assigner_stop_answer answer)> done)> requestAssignerStop;
     /** Called each time the store confirmed the membership in the zone's group. */
     std::function<void()> storeAnswered;
     /** Returns for how long the relay of the zone has failed. */
--- a/libs/key_ownership/assigner_candidacy.cpp
+++ b/libs/key_ownership/assigner_candidacy.cpp
@@ -1,6 +1,6 @@
 #include "key_ownership/assigner_candidacy.h"
 
-#include <xxhash.h>
+#include "key_ownership/detail/instance_place.h"
 
 #include <algorithm>
 
@@ -22,17 +22,10 @@
 // Members that stand in remain for this time after another instance assigns.
 constexpr time_span standInTime = std::chrono::milliseconds(6000);
 
-double placeOf(const instance_id &instance)
-{
-    const std::string &name = instance.value();
-    constexpr std::uint64_t steps = 1024;
-    return static_cast<double>(XXH64(name.data(), name.size(), 1) % steps) / static_cast<double>(steps);
-}
-
 } // namespace
 
 assigner_candidacy::assigner_candidacy(const instance_id &instance, bool preferred)
-    : m_place(placeOf(instance))
+    : m_place(detail::placeOf(instance))
     , m_preferred(preferred)
 {
 }
--- a/tests/unit/ownership_runner/elected_site.cpp
+++ b/tests/unit/ownership_runner/elected_site.cpp
@@ -36,11 +36,11 @@
                                        [] {
                                            return time_span::zero();
                                        } };
-    environment.requestAssignerStop = [&site](const network_address &assigner, std::uint64_t epoch, std::function<void(bool)> done) {
+    environment.requestAssignerStop = [&site](const network_address &assigner, std::uint64_t epoch, std::function<void(assigner_stop_answer)> done) {
         site.executor().post([&site, assigner, epoch, done = std::move(done)] {
             for (const auto &each : site.instances()) {
                 if (each->address == assigner) {
-                    done(each->runner.stopAssigningBefore(epoch));
+                    done(each->runner.stopAssigningBefore(epoch) ? assigner_stop_answer::stopped : assigner_stop_answer::refused);
                 }
             }
         });
--- a/tests/unit/ownership_runner/isolated_roles_test.cpp
+++ b/tests/unit/ownership_runner/isolated_roles_test.cpp
@@ -66,6 +66,28 @@
     cr_expect(*replaced < 1s);
 }
 
+// Guards against keys that nobody assigns, because the assigner is killed while all relays are isolated: the records still name it.
+Test(isolated_roles, instance_that_is_no_relay_takes_over_from_a_killed_assigner)
+{
+    elected_site site({ 3, 3 });
+    cr_assert_not_null(site.runUntilAssigned());
+    const std::vector<electing_instance *> isolated = site.relays();
+    for (electing_instance *each : isolated) {
+        each->runner.setIsolated(true);
+    }
+    cr_assert(site.runUntilAssignerOtherThan(nullptr, 4s).has_value());
+    // The other instances that stood in leave the election.
+    site.run(7s);
+    electing_instance *standIn = site.assigner();
+    cr_assert_not_null(standIn);
+    std::erase_if(site.instances(), [standIn](const auto &each) {
+        return each.get() == standIn;
+    });
+    // An instance asks each second, waits for answers for 2 s, and stands in after 0.6 s at most.
+    cr_expect(site.runUntilAssignerOtherThan(nullptr, 6s).value_or(6s) < 4s);
+    cr_expect(std::find(isolated.begin(), isolated.end(), site.assigner()) == isolated.end());
+}
+
 // Guards against keys that stay unassigned after all instances were isolated, and against zones without a relay meanwhile.
 Test(isolated_roles, keys_are_assigned_again_after_all_instances_were_isolated)
 {
