Probe seldom at instances with few requests

Endpoints are charged with new connections. Any silence of 0.2 s raised a suspicion, which is shorter than these requests run, and a suspicion cost two connections.

A silence counts after twice the moving average of the silences of this instance, within 0.2 s and 1 s, and the first probe is one. With six further ones, seven endpoints are asked as before a decision on six. The comment of endpoint_prober no longer says that a probe costs nothing.

New test few_requests_cause_few_probes fails without the change with the figures above; with it, 6 probes each. detects_silence_within_700_ms, which started from one phase, checks each of the 83 phases of its request interval, at 12 requests/s of 250 ms. At a request each 300 ms, a silent cut is detected within 1.5 s (detects_silence_within_1500_ms_at_few_requests, 30 phases; a guard, it passed before).

--- a/apps/sycamoretrayd/gateway/endpoint_prober.h
+++ b/apps/sycamoretrayd/gateway/endpoint_prober.h
@@ -11,7 +11,7 @@
 {
 
 /**
- * Finds out whether endpoints accept connections. Nothing is sent, so that a probe costs an endpoint next to nothing.
+ * Finds out whether endpoints accept connections. A probe costs an endpoint a connection, on which nothing is sent.
  *
  * Thread safety: none; used on the strand of the executor.
  */
--- a/libs/gateway/endpoint_isolation_detector.cpp
+++ b/libs/gateway/endpoint_isolation_detector.cpp
@@ -9,10 +9,14 @@
 namespace
 {
 
-// Without any answer for this time, with requests open, the instance may be isolated.
-constexpr time_span silenceLimit = std::chrono::milliseconds(200);
-// A suspicion costs two connections. If neither opens in this time, or both fail, more endpoints are probed.
-constexpr std::size_t firstProbes = 2;
+// Without any answer for this time, with requests open, the instance may be isolated: a multiple of what is typical of it, within limits.
+constexpr time_span minSilence = std::chrono::milliseconds(200);
+constexpr time_span maxSilence = std::chrono::milliseconds(1000);
+constexpr int typicalSilences = 2;
+// Weight of each answer in the typical time.
+constexpr int silenceWeight = 8;
+// A suspicion costs one connection. If it does not open in this time, or fails, more endpoints are probed.
+constexpr std::size_t firstProbes = 1;
 constexpr std::size_t furtherProbes = 6;
 constexpr time_span firstProbesTime = std::chrono::milliseconds(100);
 // Rounds of probes that have to fail, the first and a further one.
@@ -69,6 +73,11 @@
 
 void endpoint_isolation_detector::answered(const network_address &endpoint, monotonic_time now)
 {
+    if (const monotonic_time since = silentSince(); since != monotonic_time::max() && !isSuspicious()) {
+        // Longer ones say nothing more.
+        const time_span silence = std::min<time_span>(now - since, maxSilence / typicalSilences);
+        m_typicalSilence += (silence - m_typicalSilence) / silenceWeight;
+    }
     m_answeredAt = now;
     m_pause = shortPause;
     if (const auto found = m_candidates.find(endpoint); found != m_candidates.end()) {
@@ -261,19 +270,25 @@
 
 bool endpoint_isolation_detector::isSilent(monotonic_time now) const noexcept
 {
-    return now - m_answeredAt >= silenceLimit;
+    return now - m_answeredAt >= minSilence;
 }
 
-monotonic_time endpoint_isolation_detector::silenceDue() const
+monotonic_time endpoint_isolation_detector::silentSince() const
 {
     monotonic_time oldest = monotonic_time::max();
     for (const auto &[address, open] : m_open) {
         oldest = std::min(oldest, open.silentSince);
     }
-    if (oldest == monotonic_time::max()) {
-        return oldest;
+    return oldest == monotonic_time::max() ? oldest : std::max(oldest, m_answeredAt);
+}
+
+monotonic_time endpoint_isolation_detector::silenceDue() const
+{
+    const monotonic_time since = silentSince();
+    if (since == monotonic_time::max()) {
+        return since;
     }
-    return std::max(std::max(oldest, m_answeredAt) + silenceLimit, m_noSuspicionUntil);
+    return std::max(since + std::clamp<time_span>(m_typicalSilence * typicalSilences, minSilence, maxSilence), m_noSuspicionUntil);
 }
 
 monotonic_time endpoint_isolation_detector::nextDue() const
--- a/libs/gateway/endpoint_isolation_detector.h
+++ b/libs/gateway/endpoint_isolation_detector.h
@@ -94,6 +94,8 @@
     /** Endpoints with the lowest rank are probed: class, time since the last probe, number of similar endpoints probed with it, time since it was reached. */
     using probe_rank = std::tuple<int, time_span, std::size_t, time_span>;
 
+    /** Since when no endpoint has answered while requests are open; the maximum if none is open. */
+    monotonic_time silentSince() const;
     monotonic_time silenceDue() const;
     void suspect(monotonic_time now);
     void refute(monotonic_time now);
@@ -113,6 +115,8 @@
     /** Endpoints that have accepted connections while isolated, without a failure since. */
     std::map<network_address, accepted_connections> m_connected;
     monotonic_time m_answeredAt{};
+    /** Moving average of the times without any answer while requests were open. */
+    time_span m_typicalSilence{};
     monotonic_time m_noSuspicionUntil{};
     time_span m_pause{};
     monotonic_time m_nextProbesAt = monotonic_time::max();
--- a/tests/unit/gateway/endpoint_isolation_detector_test.cpp
+++ b/tests/unit/gateway/endpoint_isolation_detector_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <string>
@@ -20,7 +21,7 @@
 };
 
 constexpr time_span probeTimeout = milliseconds(250);
-constexpr time_span runTime = milliseconds(250);
+constexpr std::array<time_span, 2> mixedRunTimes{ milliseconds(250), milliseconds(400) };
 
 /** An instance with endpoints of two services in three zones, in virtual time. Requests use connections that are kept open. */
 struct simulated_instance {
@@ -48,6 +49,8 @@
     std::multimap<monotonic_time, std::function<void()>> events;
     std::size_t probes = 0;
     std::size_t requests = 0;
+    /** Of the requests in turn. */
+    std::vector<time_span> runTimes{ milliseconds(250) };
     bool wasIsolated = false;
 
     void setAll(path_state opening, path_state open)
@@ -71,7 +74,7 @@
     {
         const network_address address = addresses[requests++ * 7 % addresses.size()];
         detector.sent(address, now);
-        events.emplace(now + runTime, [this, address] {
+        events.emplace(now + runTimes[requests % runTimes.size()], [this, address] {
             if (established[address] == path_state::works) {
                 detector.answered(address, now);
                 detector.finished(address);
@@ -119,12 +122,14 @@
 // Guards against instances that go on sending into a silent network for seconds.
 Test(endpoint_isolation_detector, detects_silence_within_700_ms)
 {
-    simulated_instance instance(20);
-    instance.run(std::chrono::seconds(5), twelveASecond);
-    cr_expect(!instance.wasIsolated);
-    instance.setAll(path_state::silent, path_state::silent);
-    instance.run(milliseconds(700), twelveASecond);
-    cr_expect(instance.detector.isolatedSince().has_value());
+    for (int phase = 0; phase < 83; ++phase) {
+        simulated_instance instance(20);
+        instance.run(std::chrono::seconds(5) + milliseconds(phase), twelveASecond);
+        cr_expect(!instance.wasIsolated);
+        instance.setAll(path_state::silent, path_state::silent);
+        instance.run(milliseconds(700), twelveASecond);
+        cr_expect(instance.detector.isolatedSince().has_value(), "phase %d ms", phase);
+    }
 }
 
 // Guards against a late decision when all connections are refused at once, which shows after a few milliseconds.
@@ -266,6 +271,31 @@
     cr_expect_leq(instance.probes, 30U);
 }
 
+// Guards against new connections on a calm day, which endpoints are charged with, at instances with few requests.
+Test(endpoint_isolation_detector, few_requests_cause_few_probes)
+{
+    for (const time_span interval : { milliseconds(300), milliseconds(1000) }) {
+        simulated_instance instance(20);
+        instance.runTimes.assign(mixedRunTimes.begin(), mixedRunTimes.end());
+        instance.run(std::chrono::seconds(60), interval);
+        cr_expect_leq(instance.probes, 10U, "%zu probes for %zu requests", instance.probes, instance.requests);
+        cr_expect_not(instance.wasIsolated);
+    }
+}
+
+// Guards against an isolation that shows late because few requests are open.
+Test(endpoint_isolation_detector, detects_silence_within_1500_ms_at_few_requests)
+{
+    for (int phase = 0; phase < 300; phase += 10) {
+        simulated_instance instance(20);
+        instance.runTimes.assign(mixedRunTimes.begin(), mixedRunTimes.end());
+        instance.run(std::chrono::seconds(10) + milliseconds(phase), milliseconds(300));
+        instance.setAll(path_state::silent, path_state::silent);
+        instance.run(milliseconds(1500), milliseconds(300));
+        cr_expect(instance.detector.isolatedSince().has_value(), "phase %d ms", phase);
+    }
+}
+
 // Guards against a site with few endpoints that never, or always, counts as unreachable.
 Test(endpoint_isolation_detector, few_endpoints)
 {
