Let a relay that is no candidate for the assigner's role join its group as often

An isolated relay refused the reads of other relays, and so delayed the instances that they read for, after one slow answer of the store: it serves them for 0.8 s after an answer, for which its two memberships gave one each 0.33 s. While isolated it has only that of the zone, confirmed every 0.67 s.

A relay that takes no part in the election of the assigner joins its zone's group every 0.33 s. These are no more calls than those of both groups.

--- a/apps/sycamoretrayd/gateway/group_membership.cpp
+++ b/apps/sycamoretrayd/gateway/group_membership.cpp
@@ -44,6 +44,7 @@
     bool unconfirmed = false;
     bool isLeader = false;
     monotonic_time leadershipConfirmedAt{};
+    monotonic_time lastJoinAt{};
     monotonic_time lastAnswerAt{};
     std::uint64_t generation = 0;
 
@@ -51,6 +52,7 @@
     {
         const monotonic_time sent = steadyNow();
         joining = true;
+        lastJoinAt = sent;
         store.join(settings.group, settings.member, settings.topic, settings.timeToLive, generation, [weak = weak_from_this(), sent](const join_reply &reply) {
             const auto self = weak.lock();
             if (self && !self->ended) {
@@ -134,6 +136,11 @@
     return d->leadershipConfirmedAt;
 }
 
+monotonic_time group_membership::lastJoinAt() const noexcept
+{
+    return d->lastJoinAt;
+}
+
 monotonic_time group_membership::lastAnswerAt() const noexcept
 {
     return d->lastAnswerAt;
--- a/apps/sycamoretrayd/gateway/group_membership.h
+++ b/apps/sycamoretrayd/gateway/group_membership.h
@@ -54,6 +54,9 @@
      */
     monotonic_time leadershipConfirmedAt() const noexcept;
 
+    /** When the last join was sent. */
+    monotonic_time lastJoinAt() const noexcept;
+
     /** When the store last answered a join. */
     monotonic_time lastAnswerAt() const noexcept;
 
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -32,10 +32,11 @@
 constexpr int zoneMembershipTimeToLiveFactor = 2;
 // A relay that had no reply from the store for this time may be out of date.
 constexpr time_span relayDataMaxAge = std::chrono::milliseconds(1600);
-// Shorter for reads by other relays, whose readers add their own delay. Each of the two memberships is confirmed every 0.3 s.
+// Shorter for reads by other relays, whose readers add their own delay. Relays send a join every 0.33 s at least.
 constexpr time_span relayDataMaxAgeForRelays = std::chrono::milliseconds(800);
 // The store reassigns the relay while the first members join the group, which takes about 0.1 s when a site starts.
 constexpr time_span groupFormationTime = std::chrono::milliseconds(400);
+constexpr int relayJoinsPerTimeToLive = 3;
 constexpr std::uint32_t tickMilliseconds = 40;
 constexpr time_span reachInterval = std::chrono::milliseconds(200);
 constexpr time_span stopRequestInterval = std::chrono::milliseconds(300);
@@ -117,6 +118,7 @@
             zoneGroup->leave();
             zoneGroup.reset();
         }
+        joinAsOnlyMember(now);
         if (leadership.phase() == leadership_phase::claiming) {
             finishClaim();
         }
@@ -226,6 +228,14 @@
         zoneGroup->start();
     }
 
+    /** A relay that takes no part in the election of the assigner joins its zone's group as often as it would join the other. */
+    void joinAsOnlyMember(monotonic_time now)
+    {
+        if (relaying && zoneGroup && !assignerGroup && now - zoneGroup->lastJoinAt() >= settings.memberTimeToLive / relayJoinsPerTimeToLive) {
+            zoneGroup->joinNow();
+        }
+    }
+
     void zoneGroupAnswered()
     {
         const bool leads = zoneGroup->isLeader();
--- a/tests/unit/ownership_runner/group_store.cpp
+++ b/tests/unit/ownership_runner/group_store.cpp
@@ -44,6 +44,16 @@
     m_producersUnanswered = unanswered;
 }
 
+void group_store::setJoinDelay(time_span delay)
+{
+    m_joinDelay = delay;
+}
+
+std::size_t group_store::joins() const noexcept
+{
+    return m_joins;
+}
+
 std::size_t group_store::members(const std::string &group) const
 {
     const auto found = m_groups.find(group);
@@ -123,6 +133,15 @@
     if (state.owner == member && !toOther) {
         reply.partitions = { 0 };
     }
+    ++m_joins;
+    if (m_joinDelay > time_span::zero()) {
+        m_executor.repeat(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_joinDelay).count()),
+                          [reply, done = std::move(done)] {
+                              done(reply);
+                              return false;
+                          });
+        return;
+    }
     m_executor.post([reply, done = std::move(done)] {
         done(reply);
     });
--- a/tests/unit/ownership_runner/group_store.h
+++ b/tests/unit/ownership_runner/group_store.h
@@ -17,6 +17,12 @@
     /** While true, appends by producers get no answer and have no effect, and other calls are served. */
     void setProducersUnanswered(bool unanswered);
 
+    /** Answers each join after @p delay, of which the present one is taken at the join. */
+    void setJoinDelay(time_span delay);
+
+    /** Number of joins. */
+    std::size_t joins() const noexcept;
+
     /** Returns the number of members of @p group. */
     std::size_t members(const std::string &group) const;
 
@@ -51,6 +57,8 @@
     std::map<std::string, group_state> m_groups;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nextSequence = 0;
+    time_span m_joinDelay{};
+    std::size_t m_joins = 0;
 };
 
 } // namespace sycamoretray
--- a/tests/unit/ownership_runner/isolated_roles_test.cpp
+++ b/tests/unit/ownership_runner/isolated_roles_test.cpp
@@ -156,6 +156,34 @@
     cr_expect(site.takeLongestGap() < 1700ms);
 }
 
+// Guards against an isolated relay that refuses the reads of other relays after one slow answer of the store, and against more calls of the store
+// than before the isolation.
+Test(isolated_roles, isolated_relay_serves_other_relays_through_a_slow_join)
+{
+    elected_site site({ 1, 1 });
+    cr_assert_not_null(site.runUntilAssigned());
+    electing_instance *relay = site.relays().front();
+    const std::size_t before = site.store().joins();
+    site.run(2s);
+    const std::size_t calm = site.store().joins() - before;
+    relay->runner.setIsolated(true);
+    const std::size_t atIsolation = site.store().joins();
+    site.run(2s);
+    // The resignation causes one more.
+    cr_expect_leq(site.store().joins() - atIsolation, calm + 1);
+    for (int round = 0; round < 6; ++round) {
+        // All joins within the next 0.35 s are slow, of which there is one at least.
+        site.store().setJoinDelay(300ms);
+        for (int i = 0; i < 70; ++i) {
+            if (i == 35) {
+                site.store().setJoinDelay({});
+            }
+            site.run(10ms);
+            cr_expect(relay->runner.isCurrentRelay(true));
+        }
+    }
+}
+
 // Guards against small instances that stay out of the election while all relays are isolated.
 Test(isolated_roles, small_instances_take_over_if_all_relays_are_isolated)
 {
