Ask endpoints without keys while the assigner's path is doubtful

Keys stayed with lost endpoints for ever: all endpoints that had keys crash, while others have just started and have none. Two endpoints that leave orders unanswered put the assigner's own path in doubt until any endpoint answers an order; the only orders go to endpoints that have keys, or are unresponsive.

While the path is doubtful, the assigner asks one endpoint that left no order unanswered for its health, each 0.25 s.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -38,6 +38,7 @@
 constexpr time_span groupFormationTime = std::chrono::milliseconds(400);
 constexpr int relayJoinsPerTimeToLive = 3;
 constexpr std::uint32_t tickMilliseconds = 40;
+constexpr time_span pathCheckInterval = std::chrono::milliseconds(250);
 constexpr time_span reachInterval = std::chrono::milliseconds(200);
 constexpr time_span stopRequestInterval = std::chrono::milliseconds(300);
 constexpr const char *groupName = "sycamoretray-assigner";
@@ -89,6 +90,9 @@
     /** Set while this instance is the assigner. */
     std::unique_ptr<ownership_appender> appender;
     path_evidence pathEvidence;
+    monotonic_time nextPathCheck{};
+    /** Last endpoint that was asked because the path was doubtful. */
+    endpoint_id checkedEndpoint;
     assigner_reach_log reachLog;
     monotonic_time nextReach{};
 
@@ -124,6 +128,7 @@
         }
         if (isLeader()) {
             requestPreviousAssignerStop(now);
+            checkPath(now);
             performActions();
         }
         updateReach(now);
@@ -512,6 +517,49 @@
         }
     }
 
+    /**
+     * Asks one endpoint while the path is doubtful. The endpoints that could answer an order may all be without keys, so that none is sent to
+     * them.
+     */
+    void checkPath(monotonic_time now)
+    {
+        if (!pathEvidence.isPathDoubtful() || now < nextPathCheck) {
+            return;
+        }
+        nextPathCheck = now + pathCheckInterval;
+        const listed_endpoint *next = nextToCheck();
+        const service_definition *definition = next == nullptr ? nullptr : environment.feeds.routes()->service(next->entry.service);
+        if (definition == nullptr) {
+            return;
+        }
+        const endpoint_incarnation &incarnation = next->entry.incarnation;
+        checkedEndpoint = incarnation.endpoint;
+        environment.endpoints.send(probe_endpoint{ order_id(), incarnation },
+                                   definition->healthPath,
+                                   [weak = weak_from_this(), endpoint = checkedEndpoint, sentIn = epoch](order_id /*order*/, const order_reply &reply) {
+                                       const auto self = weak.lock();
+                                       if (self && !self->stopped && self->epoch == sentIn && self->isLeader()) {
+                                           self->updatePathEvidence(endpoint, reply.outcome);
+                                       }
+                                   });
+    }
+
+    /** Returns the endpoint to ask next among those that left no order unanswered; nullptr if there is none. */
+    const listed_endpoint *nextToCheck() const
+    {
+        const listed_endpoint *first = nullptr;
+        for (const auto &[id, endpoint] : environment.feeds.directory().endpoints()) {
+            if (pathEvidence.isUnanswered(id)) {
+                continue;
+            }
+            if (checkedEndpoint < id) {
+                return &endpoint;
+            }
+            first = first == nullptr ? &endpoint : first;
+        }
+        return first;
+    }
+
     order_callback orderCallback(const service_id &service, const endpoint_id &endpoint)
     {
         return [weak = weak_from_this(), service, endpoint, sentIn = epoch](order_id order, order_reply reply) {
--- a/libs/key_ownership/path_evidence.cpp
+++ b/libs/key_ownership/path_evidence.cpp
@@ -21,6 +21,11 @@
     m_unanswered.insert(endpoint);
 }
 
+bool path_evidence::isUnanswered(const endpoint_id &endpoint) const
+{
+    return m_unanswered.contains(endpoint);
+}
+
 bool path_evidence::isPathDoubtful() const noexcept
 {
     return m_unanswered.size() >= endpointsForDoubt;
--- a/libs/key_ownership/path_evidence.h
+++ b/libs/key_ownership/path_evidence.h
@@ -22,6 +22,9 @@
     /** @p endpoint left an order unanswered, or could not be sent one. */
     void unanswered(const endpoint_id &endpoint);
 
+    /** Returns whether @p endpoint has left orders unanswered since the last answer. */
+    bool isUnanswered(const endpoint_id &endpoint) const;
+
     /** Returns whether single endpoints cannot be told from a lost path at present. */
     bool isPathDoubtful() const noexcept;
 
--- a/tests/unit/ownership_runner/elected_site.cpp
+++ b/tests/unit/ownership_runner/elected_site.cpp
@@ -90,7 +90,7 @@
     setDividedByKey(true);
     m_endpoints.resize(endpointCount);
     for (std::size_t i = 0; i < endpointCount; ++i) {
-        addEndpoint(i);
+        addEndpoint(i, 0);
     }
     for (std::size_t zone = 0; zone < zones.size(); ++zone) {
         for (std::size_t i = 0; i < zones[zone]; ++i) {
@@ -105,7 +105,15 @@
     m_store.put("keyed.op", "config", configuration(++m_configuration, dividedByKey));
 }
 
-void elected_site::addEndpoint(std::size_t index)
+void elected_site::addSlowEndpoints(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        m_endpoints.emplace_back();
+        addEndpoint(m_endpoints.size() - 1, 60000);
+    }
+}
+
+void elected_site::addEndpoint(std::size_t index, std::uint32_t slowForMs)
 {
     http_server_settings settings;
     settings.address = network_address("127.0.0.1:0");
@@ -127,17 +135,21 @@
     };
     m_endpoints[index].server = std::make_unique<http_server>(m_context, settings, handle);
     m_endpoints[index].server->start();
-    const nlohmann::json entry = { { "Service", "s" },       { "Address", "127.0.0.1:" + std::to_string(m_endpoints[index].server->port()) },
-                                   { "Zone", "a" },          { "Version", "v1" },
-                                   { "Slots", 2 },           { "State", "ready" },
-                                   { "ColdRemainingMs", 0 }, { "Sequence", 1 },
+    const nlohmann::json entry = { { "Service", "s" },
+                                   { "Address", "127.0.0.1:" + std::to_string(m_endpoints[index].server->port()) },
+                                   { "Zone", "a" },
+                                   { "Version", "v1" },
+                                   { "Slots", 2 },
+                                   { "State", "ready" },
+                                   { "ColdRemainingMs", slowForMs },
+                                   { "Sequence", 1 },
                                    { "born", 1700000000123 } };
     m_store.put(platform::endpointTopic, "e" + std::to_string(index), entry.dump());
 }
 
-void elected_site::setSilent(bool silent, std::size_t first)
+void elected_site::setSilent(bool silent, std::size_t first, std::size_t end)
 {
-    for (std::size_t i = first; i < m_endpoints.size(); ++i) {
+    for (std::size_t i = first; i < std::min(end, m_endpoints.size()); ++i) {
         m_endpoints[i].silent = silent;
     }
 }
--- a/tests/unit/ownership_runner/elected_site.h
+++ b/tests/unit/ownership_runner/elected_site.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,8 +69,13 @@
     /** Longest time between two grants at any endpoint since the last call; includes the time since its last grant. */
     time_span takeLongestGap();
 
-    /** While true, the endpoints from index @p first on answer nothing; later, they do not answer what they got meanwhile. */
-    void setSilent(bool silent, std::size_t first = 0);
+    /** Adds @p count endpoints that are slow for a minute, so that they get no keys as long as others have them. */
+    void addSlowEndpoints(std::size_t count);
+
+    /**
+     * While true, the endpoints with indexes from @p first to before @p end answer nothing; later, they do not answer what they got meanwhile.
+     */
+    void setSilent(bool silent, std::size_t first = 0, std::size_t end = std::numeric_limits<std::size_t>::max());
 
     /** Number of orders that the endpoints have received. */
     std::size_t orders() const noexcept
@@ -86,7 +92,7 @@
         time_span longestGap{};
     };
 
-    void addEndpoint(std::size_t index);
+    void addEndpoint(std::size_t index, std::uint32_t slowForMs);
     bool allGranted() const;
 
     boost::asio::io_context m_context;
--- a/tests/unit/ownership_runner/unreachable_endpoints_test.cpp
+++ b/tests/unit/ownership_runner/unreachable_endpoints_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace sycamoretray;
 using namespace std::chrono_literals;
 
@@ -58,3 +60,22 @@
     site.run(700ms + 2 * 250ms + 120ms + 400ms + 700ms);
     cr_expect(nextToken(*assigner) > before);
 }
+
+// Guards against keys that stay with lost endpoints, because no other endpoint has keys and answers orders.
+Test(unreachable_endpoints, keys_of_all_owners_move_to_endpoints_without_keys)
+{
+    elected_site site({ 1 });
+    const electing_instance *assigner = site.runUntilAssigned();
+    cr_assert_not_null(assigner);
+    site.addSlowEndpoints(4);
+    site.run(500ms);
+    const std::uint64_t before = nextToken(*assigner);
+    site.setSilent(true, 0, 4);
+    // As above, and a question to another endpoint.
+    site.run(700ms + 2 * 250ms + 120ms + 400ms + 250ms);
+    cr_expect(nextToken(*assigner) > before);
+    const auto &assignments = assigner->feeds.ownership().records().at(service_id("s")).assignments;
+    cr_expect(std::any_of(assignments.begin(), assignments.end(), [](const key_assignment &each) {
+        return each.owner.endpoint.value() >= "e4";
+    }));
+}
