Expect exactly one change of the assigner with an unstable path

The test's name says one change, while it let three pass. By design there is one: the former assigner does not take part again before its path was stable for 2 s, as the other relay takes over at its next tick.

--- a/tests/unit/ownership_runner/isolated_roles_test.cpp
+++ b/tests/unit/ownership_runner/isolated_roles_test.cpp
@@ -152,7 +152,7 @@
         site.run(300ms);
     }
     cr_expect_neq(site.assigner(), former);
-    cr_expect(site.store().highestEpoch() <= epoch + 3, "%lu epochs", site.store().highestEpoch() - epoch);
+    cr_expect(site.store().highestEpoch() <= epoch + 1, "%lu epochs", site.store().highestEpoch() - epoch);
     cr_expect(site.takeLongestGap() < 1700ms);
 }
 
