Ask the previous assigner to stop only when a successor's record is stored

A new assigner grants nothing before its first record is stored. If the store is lost in between, only the previous assigner can renew the grants, but it was asked to stop with the first tick. Found in review; the order of the two steps is not tested.

--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -422,7 +422,11 @@
 
     void requestPreviousAssignerStop(monotonic_time now)
     {
-        if (previousAssignerStopped || now < nextStopRequest) {
+        // Until then, only the previous assigner can renew the grants.
+        const bool recorded = std::all_of(assigners.begin(), assigners.end(), [](const auto &item) {
+            return item.second->isRecorded();
+        });
+        if (previousAssignerStopped || now < nextStopRequest || !recorded) {
             return;
         }
         nextStopRequest = now + stopRequestInterval;
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -347,6 +347,11 @@
     return record;
 }
 
+bool key_assigner::isRecorded() const noexcept
+{
+    return d->writtenRevision > 0;
+}
+
 std::size_t key_assigner::rememberedIncarnations() const noexcept
 {
     return d->endedIncarnations.size() + d->terminatedIncarnations.size() + d->grantsInFlight.size();
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -115,6 +115,9 @@
      */
     ownership_record resignation(bool earlierMaySend) const;
 
+    /** Returns whether a record of this assigner is stored, so that it can grant keys. */
+    bool isRecorded() const noexcept;
+
     /** Returns for how many incarnations of endpoints state is kept. Does not grow with the number of restarts. */
     std::size_t rememberedIncarnations() const noexcept;
 
--- a/tests/unit/ownership_runner/ownership_runner_test.cpp
+++ b/tests/unit/ownership_runner/ownership_runner_test.cpp
@@ -85,7 +85,31 @@
     site.setDividedByKey(false);
     site.run(300ms);
     former->runner.leave();
-    site.run(3s);
+    // Instances that stood in while the relays were elected stay for 6 s.
+    site.run(7s);
     // The relay of each zone.
     cr_expect_eq(site.store().members("sycamoretray-assigner"), 2U);
 }
+
+// Guards against two holders of keys: an assigner that has taken over from a lost one loses the role and gets it again, and forgets that the lost
+// one may still renew grants.
+Test(ownership_runner, second_term_does_not_hide_an_earlier_assigner_that_may_still_send)
+{
+    elected_site site({ 1, 1, 1 });
+    electing_instance *lost = site.runUntilAssigned();
+    cr_assert_not_null(lost);
+    std::erase_if(site.instances(), [lost](const auto &each) {
+        return each.get() == lost;
+    });
+    cr_assert(site.runUntilAssignerOtherThan(nullptr, 3s).has_value());
+    site.run(500ms);
+    electing_instance *second = site.assigner();
+    cr_assert_not_null(second);
+    // Ends the term, as after a restore of the store; the next join begins another.
+    second->runner.storeRestored();
+    cr_expect_not(second->runner.isLeader());
+    site.run(1500ms);
+    cr_assert(second->runner.isLeader());
+    constexpr std::uint64_t laterEpoch = 1ULL << 40;
+    cr_expect_not(second->runner.stopAssigningBefore(laterEpoch));
+}
