Forward no request to an instance with an older configuration

A caller of an isolated instance that used a route of the newest configuration got 404 if the instance to which its request was forwarded had not read that configuration yet, or a run at the service that the route named before. Callers do not retry 404.

The receiver decided by its own configuration, and nothing in the hop named the sender's. The version now goes with the request, in Sycamoretray-Forwarded-Configuration. A receiver with a lower one answers configuration_stale, which was "not taken" before; one with the same or a higher one runs the request. no_matching_service and key_missing of a receiver count as not taken as well, and do not make the sender avoid it. An instance of an earlier release states no version; its requests are taken as before. If none takes the request, the caller gets 503 instance_isolated as before.

--- a/apps/sycamoretrayd/gateway/forwarding_codec.cpp
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.cpp
@@ -3,6 +3,7 @@
 #include "platform/request_codec.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 #include <string_view>
@@ -16,16 +17,19 @@
 
 // Marks a forwarded request; the value is the number of endpoints that may have run it.
 constexpr std::string_view attemptsField = "Sycamoretray-Forwarded-Attempts";
+// Version of the configuration by which the request was accepted.
+constexpr std::string_view configurationField = "Sycamoretray-Forwarded-Configuration";
 // Marks an answer that the instance generated itself; the value is its result code.
 constexpr std::string_view resultField = "Sycamoretray-Forward-Result";
 
 /** Removes the fields named @p name and returns the number in the last one. Earlier ones may be the caller's. */
-std::optional<std::uint32_t> takeNumber(http_fields &fields, std::string_view name)
+template<class Number>
+std::optional<Number> takeNumber(http_fields &fields, std::string_view name)
 {
-    std::optional<std::uint32_t> number;
+    std::optional<Number> number;
     for (const http_field &field : fields) {
         if (equalFieldNames(field.name, name)) {
-            std::uint32_t value = 0;
+            Number value = 0;
             const char *end = field.value.data() + field.value.size();
             const auto parsed = std::from_chars(field.value.data(), end, value);
             number = parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value) : std::nullopt;
@@ -37,7 +41,7 @@
     return number;
 }
 
-/** Outcome for the instance if @p code says that another one should be asked. */
+/** Outcome for the instance if @p code, which it generated, says that another one should be asked. */
 std::optional<peer_outcome> refusalToTake(result_code code)
 {
     switch (code) {
@@ -46,6 +50,10 @@
         return peer_outcome::isolated;
     case result_code::instance_stopping:
         return peer_outcome::stopping;
+    case result_code::no_matching_service:
+    case result_code::key_missing:
+        // Its configuration differs, as the instance that forwarded the request accepted it. It may take other requests.
+        return peer_outcome::unknown;
     default:
         return std::nullopt;
     }
@@ -53,9 +61,11 @@
 
 } // namespace
 
-std::string encodeForward(const gateway_request &request, std::uint32_t attempts, time_span timeLeft)
+std::string encodeForward(const gateway_request &request, const forward_mark &mark, time_span timeLeft)
 {
-    return platform::encodeForward(request, timeLeft, { std::string(attemptsField), std::to_string(attempts) });
+    const std::array<http_field, 2> fields{ http_field{ std::string(attemptsField), std::to_string(mark.attempts) },
+                                            http_field{ std::string(configurationField), std::to_string(mark.configurationVersion) } };
+    return platform::encodeForward(request, timeLeft, fields);
 }
 
 bool isForward(const http_request &request)
@@ -65,13 +75,15 @@
 
 std::variant<gateway_request, result_code> decodeForward(http_request request)
 {
-    const std::optional<std::uint32_t> attempts = takeNumber(request.fields, attemptsField);
+    const auto attempts = takeNumber<std::uint32_t>(request.fields, attemptsField);
+    // Instances of earlier releases state none.
+    const auto configurationVersion = takeNumber<std::uint64_t>(request.fields, configurationField).value_or(0);
     if (!attempts) {
         return result_code::malformed_request;
     }
     auto decoded = platform::decodeRequest(std::move(request));
     if (auto *forwarded = std::get_if<gateway_request>(&decoded)) {
-        forwarded->forwardedAttempts = attempts;
+        forwarded->forwarded = forward_mark{ *attempts, configurationVersion };
     }
     return decoded;
 }
@@ -99,7 +111,7 @@
         return { forward_lost{}, timedOut ? peer_outcome::unknown : peer_outcome::unreachable };
     }
     forward_answered answered{ std::move(result.response), false };
-    if (const auto number = takeNumber(answered.response.fields, resultField)) {
+    if (const auto number = takeNumber<std::uint32_t>(answered.response.fields, resultField)) {
         const auto code = static_cast<result_code>(*number);
         if (const auto refusal = refusalToTake(code)) {
             return { forward_not_taken{}, *refusal };
--- a/apps/sycamoretrayd/gateway/forwarding_codec.h
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.h
@@ -5,7 +5,6 @@
 #include "gateway/peer_chooser.h"
 #include "http_client/http_connection_pool.h"
 
-#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -18,8 +17,8 @@
     peer_outcome peer = peer_outcome::unknown;
 };
 
-/** Encodes @p request for another instance: the caller's request and one field that marks it. Thread-safe. */
-std::string encodeForward(const gateway_request &request, std::uint32_t attempts, time_span timeLeft);
+/** Encodes @p request for another instance: the caller's request and the fields of the mark. Thread-safe. */
+std::string encodeForward(const gateway_request &request, const forward_mark &mark, time_span timeLeft);
 
 /** Returns whether another instance forwarded @p request. Thread-safe. */
 bool isForward(const http_request &request);
--- a/apps/sycamoretrayd/gateway/request_forwarder.cpp
+++ b/apps/sycamoretrayd/gateway/request_forwarder.cpp
@@ -138,7 +138,7 @@
     d->chooser.setPeers(peers);
 }
 
-bool request_forwarder::forward(forward_id id, const gateway_request &request, std::uint32_t attempts, time_span timeLeft)
+bool request_forwarder::forward(forward_id id, const gateway_request &request, const forward_mark &mark, time_span timeLeft)
 {
     const std::optional<network_address> peer = d->chooser.choose(steadyNow());
     if (!peer) {
@@ -150,7 +150,7 @@
         d->finish(id, requestId, std::move(result));
     };
     const bool head = request.message.method == "HEAD";
-    const std::uint64_t exchange = d->poolOf(*peer).exchange(encodeForward(request, attempts, timeLeft), head, timeLeft, done);
+    const std::uint64_t exchange = d->poolOf(*peer).exchange(encodeForward(request, mark, timeLeft), head, timeLeft, done);
     d->forwards[id] = { *peer, exchange };
     return true;
 }
--- a/apps/sycamoretrayd/gateway/request_forwarder.h
+++ b/apps/sycamoretrayd/gateway/request_forwarder.h
@@ -37,7 +37,7 @@
     /** Sets the running instances; this one may be among them. */
     void setInstances(const coordinator_candidates &instances);
 
-    bool forward(forward_id id, const gateway_request &request, std::uint32_t attempts, time_span timeLeft) override;
+    bool forward(forward_id id, const gateway_request &request, const forward_mark &mark, time_span timeLeft) override;
     void abort(forward_id id) override;
 
     /** Closes connections to instances that have not been used for a while. */
--- a/libs/gateway/forwarding_port.h
+++ b/libs/gateway/forwarding_port.h
@@ -40,10 +40,10 @@
      * Sends @p request to another instance, which treats it like a caller's but never forwards it. The outcome is passed to
      * gateway::forwarded(), never from within this call.
      *
-     * @param attempts  number of endpoints that may have run the request
+     * @param mark  what this instance states about the request
      * @return false if no other instance can take requests at present
      */
-    virtual bool forward(forward_id id, const gateway_request &request, std::uint32_t attempts, time_span timeLeft) = 0;
+    virtual bool forward(forward_id id, const gateway_request &request, const forward_mark &mark, time_span timeLeft) = 0;
 
     /** Aborts an attempt, so that the other instance drops the request. gateway::forwarded() is not called. */
     virtual void abort(forward_id id) = 0;
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -28,7 +28,7 @@
     pending.request = std::move(request);
     pending.answer = std::move(answer);
     pending.arrived = now;
-    pending.attempts = pending.request.forwardedAttempts.value_or(0);
+    pending.attempts = pending.request.forwarded.value_or(forward_mark{}).attempts;
     pending.mayHaveRun = pending.attempts > 0;
     requests.emplace(id, std::move(owned));
     accept(pending, now);
@@ -37,7 +37,8 @@
 
 void gateway::impl::accept(unanswered_request &pending, monotonic_time now)
 {
-    if (!routes) {
+    // By an older configuration, a forwarded request could run at another service than the instance that accepted it chose.
+    if (!routes || (pending.request.forwarded && routes->version() < pending.request.forwarded->configurationVersion)) {
         refuse(pending, result_code::configuration_stale, defaultRetryAfter, now);
         return;
     }
--- a/libs/gateway/gateway_forwarding.cpp
+++ b/libs/gateway/gateway_forwarding.cpp
@@ -67,9 +67,10 @@
 
 void gateway::impl::forward(unanswered_request &pending, monotonic_time now)
 {
-    const bool mayForward = forwarding != nullptr && !pending.request.forwardedAttempts && pending.forwards < maxForwards;
+    const bool mayForward = forwarding != nullptr && !pending.request.forwarded && pending.forwards < maxForwards;
     const forward_id id(lastForward + 1);
-    if (!mayForward || !forwarding->forward(id, pending.request, pending.mayHaveRun ? pending.attempts : 0, pending.deadline - now)) {
+    const forward_mark mark{ pending.mayHaveRun ? pending.attempts : 0, routes->version() };
+    if (!mayForward || !forwarding->forward(id, pending.request, mark, pending.deadline - now)) {
         refuse(pending, result_code::instance_isolated, shortRetryAfter, now);
         return;
     }
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -205,7 +205,7 @@
 
 void gateway::impl::finish(unanswered_request &pending, gateway_answer answer, monotonic_time now)
 {
-    const bool leftToOther = pending.request.forwardedAttempts && answer.code == result_code::instance_isolated;
+    const bool leftToOther = pending.request.forwarded && answer.code == result_code::instance_isolated;
     if (!answer.response && !leftToOther) {
         log("request_refused",
             { { "id", pending.request.id.value() },
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -13,6 +13,14 @@
 namespace sycamoretray
 {
 
+/** What the instance that forwarded a request states about it. */
+struct forward_mark {
+    /** Number of endpoints that may have run the request before. */
+    std::uint32_t attempts = 0;
+    /** Version of the configuration by which that instance accepted the request. */
+    std::uint64_t configurationVersion = 0;
+};
+
 /** A caller's request with the properties that routing uses. */
 struct gateway_request {
     /** Id of the request; a caller's own retry has another one. */
@@ -24,8 +32,8 @@
     std::optional<key_number> key;
     /** How long the caller waits, if it stated a deadline. */
     std::optional<time_span> timeLeft;
-    /** Set if another instance forwarded the request: the number of endpoints that may have run it before. */
-    std::optional<std::uint32_t> forwardedAttempts;
+    /** Set if another instance forwarded the request. */
+    std::optional<forward_mark> forwarded;
     /** Without header fields of the connection and those that are set for each attempt. */
     http_request message;
 };
--- a/tests/unit/gateway/gateway_forwarding_test.cpp
+++ b/tests/unit/gateway/gateway_forwarding_test.cpp
@@ -20,17 +20,17 @@
 public:
     struct sent_request {
         forward_id id;
-        std::uint32_t attempts = 0;
+        forward_mark mark;
         time_span timeLeft{};
     };
     std::vector<sent_request> sent;
     std::vector<forward_id> aborted;
     bool anyPeer = true;
 
-    bool forward(forward_id id, const gateway_request & /*request*/, std::uint32_t attempts, time_span timeLeft) override
+    bool forward(forward_id id, const gateway_request & /*request*/, const forward_mark &mark, time_span timeLeft) override
     {
         if (anyPeer) {
-            sent.push_back({ id, attempts, timeLeft });
+            sent.push_back({ id, mark, timeLeft });
         }
         return anyPeer;
     }
@@ -81,7 +81,7 @@
     fixture.setIsolated(true);
     const std::size_t first = fixture.simulation.submit(work);
     cr_assert_eq(fixture.peers.sent.size(), 1U);
-    cr_expect_eq(fixture.peers.sent.front().attempts, 0U);
+    cr_expect_eq(fixture.peers.sent.front().mark.attempts, 0U);
     cr_expect(fixture.peers.sent.front().timeLeft == 1s);
     cr_expect(fixture.simulation.sends().empty());
     fixture.reply(response(200));
@@ -119,7 +119,7 @@
     cr_expect(fixture.peers.sent.empty());
     fixture.simulation.router().repeatUnanswered(fixture.simulation.now());
     cr_assert_eq(fixture.peers.sent.size(), 1U);
-    cr_expect_eq(fixture.peers.sent.front().attempts, 1U);
+    cr_expect_eq(fixture.peers.sent.front().mark.attempts, 1U);
 }
 
 // Guards against an attempt that found no connection and is then tried at one unreachable endpoint after another.
@@ -134,7 +134,7 @@
     cr_expect(fixture.peers.sent.empty());
     fixture.simulation.run(10ms);
     cr_assert_eq(fixture.peers.sent.size(), 1U);
-    cr_expect_eq(fixture.peers.sent.front().attempts, 0U);
+    cr_expect_eq(fixture.peers.sent.front().mark.attempts, 0U);
 }
 
 // Guards against a request that two isolated instances pass back and forth.
@@ -146,7 +146,7 @@
     request.id = request_id("x");
     request.host = "h";
     request.path = "/p0/x";
-    request.forwardedAttempts = 0;
+    request.forwarded = forward_mark{};
     result_code code = result_code::ok;
     fixture.simulation.router().submit(
         request,
@@ -184,7 +184,7 @@
     const std::size_t idempotent = fixture.simulation.submit(work);
     fixture.reply(forward_lost{});
     cr_assert_eq(fixture.peers.sent.size(), 2U);
-    cr_expect_eq(fixture.peers.sent.back().attempts, 1U);
+    cr_expect_eq(fixture.peers.sent.back().mark.attempts, 1U);
     fixture.reply(response(503, true));
     cr_expect_eq(fixture.answerOf(idempotent).code, result_code::server_connection_lost);
 
--- a/tests/unit/gateway_daemon/forwarding_codec_test.cpp
+++ b/tests/unit/gateway_daemon/forwarding_codec_test.cpp
@@ -15,8 +15,13 @@
     request.method = "POST";
     request.target = "/a/b?c=d";
     request.body = std::string("bo\0dy", 5);
-    request.fields = { { "Host", "h.example" },  { "Attempt-Id", "id1" }, { "Deadline-Remaining-Ms", "700" },
-                       { "Shard-Key", "65535" }, { "X-Own", "kept" },     { "Sycamoretray-Forwarded-Attempts", "9" } };
+    request.fields = { { "Host", "h.example" },
+                       { "Attempt-Id", "id1" },
+                       { "Deadline-Remaining-Ms", "700" },
+                       { "Shard-Key", "65535" },
+                       { "X-Own", "kept" },
+                       { "Sycamoretray-Forwarded-Attempts", "9" },
+                       { "Sycamoretray-Forwarded-Configuration", "9" } };
     return std::get<gateway_request>(platform::decodeRequest(std::move(request)));
 }
 
@@ -48,12 +53,14 @@
 // Guards against requests that are changed on the way, and against a caller that passes its request off as forwarded.
 Test(forwarding_codec, request_arrives_unchanged)
 {
-    const http_request received = parsed(encodeForward(callerRequest(), 1, std::chrono::milliseconds(350)));
+    const http_request received = parsed(encodeForward(callerRequest(), { 1, 1ULL << 40 }, std::chrono::milliseconds(350)));
     cr_expect(isForward(received));
     const auto decoded = decodeForward(received);
     cr_assert(std::holds_alternative<gateway_request>(decoded));
     const auto &request = std::get<gateway_request>(decoded);
-    cr_expect_eq(request.forwardedAttempts.value_or(0), 1U);
+    cr_assert(request.forwarded.has_value());
+    cr_expect_eq(request.forwarded->attempts, 1U);
+    cr_expect_eq(request.forwarded->configurationVersion, 1ULL << 40);
     cr_expect(request.id == request_id("id1"));
     cr_expect(request.key == key_number(65535));
     cr_expect(request.timeLeft == std::chrono::milliseconds(350));
@@ -84,6 +91,7 @@
     cr_expect(std::holds_alternative<forward_not_taken>(decodeForwardAnswer(exchanged(refusal(result_code::instance_isolated))).reply));
     cr_expect(decodeForwardAnswer(exchanged(refusal(result_code::instance_isolated))).peer == peer_outcome::isolated);
     cr_expect(decodeForwardAnswer(exchanged(refusal(result_code::instance_stopping))).peer == peer_outcome::stopping);
+    cr_expect(std::holds_alternative<forward_not_taken>(decodeForwardAnswer(exchanged(refusal(result_code::configuration_stale))).reply));
     const decoded_forward_reply full = decodeForwardAnswer(exchanged(refusal(result_code::deadline_unreachable)));
     cr_assert(std::holds_alternative<forward_answered>(full.reply));
     cr_expect(std::get<forward_answered>(full.reply).refused);
@@ -105,3 +113,23 @@
     cr_expect(std::holds_alternative<forward_lost>(decodeForwardAnswer(lost).reply));
     cr_expect(decodeForwardAnswer(lost).peer == peer_outcome::unreachable);
 }
+
+// Guards against 404 and 400 for requests that the caller's instance accepted, from an instance with another configuration, and against
+// avoiding that instance for all requests.
+Test(forwarding_codec, refusals_by_another_configuration)
+{
+    for (const result_code code : { result_code::no_matching_service, result_code::key_missing }) {
+        const decoded_forward_reply reply = decodeForwardAnswer(exchanged(refusal(code)));
+        cr_expect(std::holds_alternative<forward_not_taken>(reply.reply));
+        cr_expect(reply.peer == peer_outcome::unknown);
+    }
+}
+
+// Guards against an endpoint's 404 that is not passed on.
+Test(forwarding_codec, endpoint_may_answer_not_found)
+{
+    gateway_answer answer;
+    answer.response = http_response{ 404, { { "Response-Signature", "proof" } }, "body" };
+    const decoded_forward_reply reply = decodeForwardAnswer(exchanged(encodeForwardAnswer(std::move(answer), request_id("id1"))));
+    cr_expect(std::holds_alternative<forward_answered>(reply.reply));
+}
