Let a receiver that took nothing answer so, also if the request may have run before

An idempotent request whose attempt was lost with the isolation is forwarded with one attempt counted. If the first instance that was asked was isolated or stopping, the caller got 502 at once, although others could have run the request.

refuse() replaces codes that say "not run" by server_connection_lost if the request may have run, and took the forwarded count for a reason. For the receiver it is none: the sender counts its own attempts and those that were lost, and turns a refusal into unknown there. Now the receiver regards only what it sent itself; forwarded attempts still count against MaxAttempts.

Tests: forwarding_pair/receiver_that_takes_nothing_does_not_end_a_request_that_may_have_run fails without the change; request_that_may_have_run_is_never_answered_as_not_run passes before and after and guards the other direction.

--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -71,7 +71,7 @@
     endpoint_incarnation endpoint;
     monotonic_time sentAt{};
     std::uint32_t attempts = 0;
-    /** An attempt ended without evidence that the request did not run. */
+    /** An attempt of this instance ended without evidence that the request did not run. What others sent is known to those that forwarded it. */
     bool mayHaveRun = false;
     std::set<endpoint_id> triedEndpoints;
     /** Set while the request waits for a permit or uses one. */
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -29,7 +29,6 @@
     pending.answer = std::move(answer);
     pending.arrived = now;
     pending.attempts = pending.request.forwarded.value_or(forward_mark{}).attempts;
-    pending.mayHaveRun = pending.attempts > 0;
     requests.emplace(id, std::move(owned));
     accept(pending, now);
     return id;
--- a/tests/unit/gateway_daemon/forwarding_pair_test.cpp
+++ b/tests/unit/gateway_daemon/forwarding_pair_test.cpp
@@ -120,6 +120,16 @@
             origin.now);
     }
 
+    /** Submits a request whose attempt at an endpoint gets no answer; then the instance is isolated and repeats the request. */
+    void sendAndLose()
+    {
+        submit();
+        origin.router.setIsolated(true, origin.now);
+        endpoint_reply lost;
+        lost.code = result_code::server_connection_lost;
+        origin.router.replied(origin.endpoints.sent.at(0).first, lost, origin.now);
+    }
+
     /** Passes the request that was forwarded last on to the receiver, and its answer back. */
     void pass()
     {
@@ -179,3 +189,37 @@
         cr_expect_eq(pair.origin.forwarding.sent.size(), 1U);
     }
 }
+
+// Guards against a receiver that took nothing and ends the request as unknown, because it may have run before it was forwarded.
+Test(forwarding_pair, receiver_that_takes_nothing_does_not_end_a_request_that_may_have_run)
+{
+    forwarding_pair pair;
+    pair.origin.configure(5, "old");
+    pair.receiver.configure(5, "old");
+    pair.receiver.router.setIsolated(true, pair.receiver.now);
+    pair.sendAndLose();
+    cr_assert_eq(pair.origin.forwarding.sent.size(), 1U);
+    pair.pass();
+    cr_expect(!pair.answer, "no other instance is asked");
+    cr_expect_eq(pair.origin.forwarding.sent.size(), 2U);
+    pair.receiver.router.setIsolated(false, pair.receiver.now);
+    pair.pass();
+    cr_expect_eq(pair.receiver.endpoints.sent.size(), 1U);
+}
+
+// Guards against "not run" for a request that may have run before it was forwarded and refused.
+Test(forwarding_pair, request_that_may_have_run_is_never_answered_as_not_run)
+{
+    for (const bool isolated : { true, false }) {
+        forwarding_pair pair;
+        pair.origin.configure(5, "old");
+        pair.receiver.configure(5, "old");
+        pair.receiver.router.setIsolated(isolated, pair.receiver.now);
+        pair.receiver.router.setStop({ pair.receiver.now, pair.receiver.now });
+        pair.sendAndLose();
+        pair.passAll();
+        cr_assert(pair.answer.has_value());
+        const std::uint32_t status = pair.answer->response ? pair.answer->response->status : static_cast<std::uint32_t>(httpStatus(pair.answer->code));
+        cr_expect_eq(status, 502U);
+    }
+}
