Limit forwarded requests to the time until the end of a planned stop

An isolated instance that was stopped forwarded requests with the time until their deadline, also when the end of its stop came first. They ran at another instance's endpoint, and their callers got 504 although they could have been refused before.

send() checks canFinish() and limits the time to the end of the stop; forward() did neither. It does both now, with the same functions.

--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -87,6 +87,8 @@
     void send(unanswered_request &pending, detail::tracked_endpoint &tracked, monotonic_time now);
     /** Returns whether the request can be finished before a planned stop of this instance ends. */
     bool canFinish(const unanswered_request &pending, monotonic_time now) const;
+    /** Time until which an attempt may last: the request's deadline or the end of a planned stop. */
+    monotonic_time attemptDeadline(const unanswered_request &pending) const;
     /** Counts the current attempt at an endpoint that names a request limit. */
     void recordLimitedSend(const unanswered_request &pending, const endpoint_limiter &limiter);
     /** Sends queued requests after capacity became free at an endpoint. */
--- a/libs/gateway/gateway_forwarding.cpp
+++ b/libs/gateway/gateway_forwarding.cpp
@@ -67,10 +67,14 @@
 
 void gateway::impl::forward(unanswered_request &pending, monotonic_time now)
 {
+    if (!canFinish(pending, now)) {
+        refuse(pending, result_code::instance_stopping, shortRetryAfter, now);
+        return;
+    }
     const bool mayForward = forwarding != nullptr && !pending.request.forwarded && pending.forwards < maxForwards;
     const forward_id id(lastForward + 1);
     const forward_mark mark{ pending.mayHaveRun ? pending.attempts : 0, routes->version() };
-    if (!mayForward || !forwarding->forward(id, pending.request, mark, pending.deadline - now)) {
+    if (!mayForward || !forwarding->forward(id, pending.request, mark, attemptDeadline(pending) - now)) {
         refuse(pending, result_code::instance_isolated, shortRetryAfter, now);
         return;
     }
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -167,8 +167,12 @@
     attempts.emplace(pending.attempt, pending.id);
     tracked.limiter.sent(now);
     recordLimitedSend(pending, tracked.limiter);
-    const monotonic_time deadline = stop ? std::min(pending.deadline, stop->end) : pending.deadline;
-    port.send(pending.attempt, tracked.limiter.entry(), pending.request, deadline - now);
+    port.send(pending.attempt, tracked.limiter.entry(), pending.request, attemptDeadline(pending) - now);
+}
+
+monotonic_time gateway::impl::attemptDeadline(const unanswered_request &pending) const
+{
+    return stop ? std::min(pending.deadline, stop->end) : pending.deadline;
 }
 
 bool gateway::impl::canFinish(const unanswered_request &pending, monotonic_time now) const
--- a/tests/unit/gateway/gateway_forwarding_test.cpp
+++ b/tests/unit/gateway/gateway_forwarding_test.cpp
@@ -233,3 +233,24 @@
     fixture.simulation.submit(work, 5);
     cr_expect(fixture.simulation.router().takeLoadReports().empty());
 }
+
+// Guards against requests that another instance runs, but whose callers get no answer because this one stops before.
+Test(gateway_forwarding, stop_limits_forwarded_requests)
+{
+    forwarding_fixture fixture;
+    fixture.setIsolated(true);
+    const monotonic_time stopped = fixture.simulation.now();
+    fixture.simulation.router().setStop({ stopped + 600ms, stopped + 300ms });
+    const std::size_t early = fixture.simulation.submit(work);
+    cr_assert_eq(fixture.peers.sent.size(), 1U);
+    cr_expect(fixture.peers.sent.back().timeLeft == 600ms);
+    fixture.simulation.run(590ms);
+    // The other instance did not take it, and the time is too short to ask another one.
+    fixture.reply(forward_not_taken{});
+    cr_expect_eq(fixture.peers.sent.size(), 1U);
+    cr_expect_eq(fixture.answerOf(early).code, result_code::instance_stopping);
+    cr_expect(fixture.answerOf(early).retryAfter.has_value());
+    const std::size_t late = fixture.simulation.submit(work);
+    cr_expect_eq(fixture.peers.sent.size(), 1U);
+    cr_expect_eq(fixture.answerOf(late).code, result_code::instance_stopping);
+}
