Pass only answers on that name the forwarded request

Errors that another instance's HTTP server made before the request reached the handler, such as 413 when its memory for messages was used up, went to the caller as if an endpoint had sent them, although a third instance could have taken the request. Any other response on the connection passed as well.

The answer to a forwarded request now names it in Sycamoretray-Forward-Request; on kept connections, responses are matched by it, as those of endpoints are by theirs. The internal server's own errors carry their result code, by a new setting of http_server. A request that was not received (100, 101, 102) counts as not taken; a response with neither field and without the id as lost. Instances of earlier releases are recognized by the result code and by the id that endpoints repeat.

--- a/apps/sycamoretrayd/gateway/component_settings.cpp
+++ b/apps/sycamoretrayd/gateway/component_settings.cpp
@@ -1,5 +1,7 @@
 #include "sycamoretrayd/gateway/component_settings.h"
 
+#include "sycamoretrayd/gateway/forwarding_codec.h"
+
 #include <algorithm>
 #include <random>
 
@@ -59,6 +61,7 @@
     constexpr std::uint32_t addedFields = 8;
     result.limits.headerBytes += addedHeaderBytes;
     result.limits.fields += addedFields;
+    result.errorResponse = encodeForwardError;
     return result;
 }
 
--- a/apps/sycamoretrayd/gateway/forwarding_codec.cpp
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.cpp
@@ -21,6 +21,15 @@
 constexpr std::string_view configurationField = "Sycamoretray-Forwarded-Configuration";
 // Marks an answer that the instance generated itself; the value is its result code.
 constexpr std::string_view resultField = "Sycamoretray-Forward-Result";
+// In each answer to a forwarded request: its id.
+constexpr std::string_view requestField = "Sycamoretray-Forward-Request";
+
+void removeFields(http_fields &fields, std::string_view name)
+{
+    std::erase_if(fields, [name](const http_field &field) {
+        return equalFieldNames(field.name, name);
+    });
+}
 
 /** Removes the fields named @p name and returns the number in the last one. Earlier ones may be the caller's. */
 template<class Number>
@@ -35,9 +44,7 @@
             number = parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value) : std::nullopt;
         }
     }
-    std::erase_if(fields, [name](const http_field &field) {
-        return equalFieldNames(field.name, name);
-    });
+    removeFields(fields, name);
     return number;
 }
 
@@ -53,6 +60,10 @@
     case result_code::no_matching_service:
     case result_code::key_missing:
         // Its configuration differs, as the instance that forwarded the request accepted it. It may take other requests.
+    case result_code::malformed_request:
+    case result_code::header_too_large:
+    case result_code::body_too_large:
+        // The memory that all its connections share was used up, or it does not read what the other instance accepted.
         return peer_outcome::unknown;
     default:
         return std::nullopt;
@@ -92,16 +103,32 @@
 {
     const std::optional<result_code> generated = answer.response ? std::nullopt : std::optional(answer.code);
     http_response response = platform::encodeAnswer(std::move(answer), id);
-    std::erase_if(response.fields, [](const http_field &field) {
-        return equalFieldNames(field.name, resultField);
-    });
+    removeFields(response.fields, resultField);
+    removeFields(response.fields, requestField);
     if (generated) {
         response.fields.push_back({ std::string(resultField), std::to_string(static_cast<int>(*generated)) });
     }
+    if (!id.value().empty()) {
+        response.fields.push_back({ std::string(requestField), id.value() });
+    }
     return response;
 }
 
-decoded_forward_reply decodeForwardAnswer(http_exchange_result result)
+http_response encodeForwardError(result_code code)
+{
+    return encodeForwardAnswer({ std::nullopt, code, std::nullopt }, {});
+}
+
+bool answersForward(const http_response &response, const request_id &id)
+{
+    if (const std::string *named = findField(response.fields, requestField)) {
+        return *named == id.value();
+    }
+    // Instances of earlier releases name no request in this field, but endpoints do in theirs.
+    return findField(response.fields, resultField) != nullptr || platform::belongsTo(response, id);
+}
+
+decoded_forward_reply decodeForwardAnswer(http_exchange_result result, const request_id &id)
 {
     if (!result.sent) {
         return { forward_not_taken{}, peer_outcome::unreachable };
@@ -110,7 +137,11 @@
         const bool timedOut = result.code == result_code::deadline_while_running;
         return { forward_lost{}, timedOut ? peer_outcome::unknown : peer_outcome::unreachable };
     }
+    if (!answersForward(result.response, id)) {
+        return { forward_lost{}, peer_outcome::unknown };
+    }
     forward_answered answered{ std::move(result.response), false };
+    removeFields(answered.response.fields, requestField);
     if (const auto number = takeNumber<std::uint32_t>(answered.response.fields, resultField)) {
         const auto code = static_cast<result_code>(*number);
         if (const auto refusal = refusalToTake(code)) {
--- a/apps/sycamoretrayd/gateway/forwarding_codec.h
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.h
@@ -29,7 +29,13 @@
 /** Encodes the response to the instance that forwarded the request @p id. Thread-safe. */
 http_response encodeForwardAnswer(gateway_answer answer, const request_id &id);
 
-/** Maps the result of an exchange with another instance. Thread-safe. */
-decoded_forward_reply decodeForwardAnswer(http_exchange_result result);
+/** Encodes the response to a request that was not received completely and thus has no id. Thread-safe. */
+http_response encodeForwardError(result_code code);
+
+/** Returns whether @p response answers the forwarded request @p id, or is one of encodeForwardError(). Thread-safe. */
+bool answersForward(const http_response &response, const request_id &id);
+
+/** Maps the result of an exchange with another instance about the request @p id. Thread-safe. */
+decoded_forward_reply decodeForwardAnswer(http_exchange_result result, const request_id &id);
 
 } // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -405,7 +405,7 @@
     auto decoded = decodeForward(std::move(request));
     if (const auto *code = std::get_if<result_code>(&decoded)) {
         logEvent("request_malformed", { { "code", std::string(resultName(*code)) } });
-        handle->answer(encodeForwardAnswer({ std::nullopt, *code, std::nullopt }, {}));
+        handle->answer(encodeForwardError(*code));
         return;
     }
     auto forwarded = std::get<gateway_request>(std::move(decoded));
--- a/apps/sycamoretrayd/gateway/request_forwarder.cpp
+++ b/apps/sycamoretrayd/gateway/request_forwarder.cpp
@@ -98,7 +98,7 @@
         const auto found = forwards.find(id);
         const network_address peer = found->second.peer;
         forwards.erase(found);
-        decoded_forward_reply decoded = decodeForwardAnswer(std::move(result));
+        decoded_forward_reply decoded = decodeForwardAnswer(std::move(result), request);
         chooser.finished(peer, decoded.peer, steadyNow());
         const std::string_view outcome = outcomeName(decoded.reply);
         count(outcome);
@@ -149,8 +149,13 @@
     const auto done = [this, id, requestId = request.id](http_exchange_result result) {
         d->finish(id, requestId, std::move(result));
     };
+    response_matching matching;
+    matching.matches = [requestId = request.id](const http_response &response) {
+        return answersForward(response, requestId);
+    };
+    matching.identity = request.id.value();
     const bool head = request.message.method == "HEAD";
-    const std::uint64_t exchange = d->poolOf(*peer).exchange(encodeForward(request, mark, timeLeft), head, timeLeft, done);
+    const std::uint64_t exchange = d->poolOf(*peer).exchange(encodeForward(request, mark, timeLeft), head, timeLeft, done, std::move(matching));
     d->forwards[id] = { *peer, exchange };
     return true;
 }
--- a/libs/http_entry/detail/http_session.cpp
+++ b/libs/http_entry/detail/http_session.cpp
@@ -142,7 +142,8 @@
     m_requestDeadline = noDeadline;
     const std::uint64_t sequence = m_firstSequence + m_pending.size();
     m_pending.emplace_back().keepAlive = false;
-    deliverOnStrand(sequence, errorAnswer(code, request_id()), true);
+    const auto &errorResponse = m_environment->settings.errorResponse;
+    deliverOnStrand(sequence, errorResponse ? errorResponse(code) : errorAnswer(code, request_id()), true);
 }
 
 void http_session::sendContinue()
--- a/libs/http_entry/http_server.h
+++ b/libs/http_entry/http_server.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "base/result_code.h"
 #include "http_message/buffer_budget.h"
 #include "http_message/http_parser.h"
 
@@ -31,6 +32,8 @@
     time_span transferTimeout = std::chrono::seconds(10);
     /** Time after which a connection without a request is closed. */
     time_span idleTimeout = std::chrono::seconds(60);
+    /** Makes the response to a request that violates the limits or the protocol; if null, errorAnswer() does. Called on any thread. */
+    std::function<http_response(result_code code)> errorResponse;
 };
 
 namespace detail
--- a/tests/unit/gateway_daemon/forwarding_codec_test.cpp
+++ b/tests/unit/gateway_daemon/forwarding_codec_test.cpp
@@ -43,6 +43,11 @@
     return result;
 }
 
+decoded_forward_reply decode(http_exchange_result result)
+{
+    return decodeForwardAnswer(std::move(result), request_id("id1"));
+}
+
 http_response refusal(result_code code)
 {
     return encodeForwardAnswer({ std::nullopt, code, std::chrono::milliseconds(150) }, request_id("id1"));
@@ -75,29 +80,32 @@
 Test(forwarding_codec, answer_of_an_endpoint_is_passed_on)
 {
     gateway_answer answer;
-    answer.response = http_response{ 200, { { "Response-Signature", "proof" }, { "Sycamoretray-Forward-Result", "122" } }, "body" };
-    const decoded_forward_reply reply = decodeForwardAnswer(exchanged(encodeForwardAnswer(std::move(answer), request_id("id1"))));
+    answer.response = http_response{ 200,
+                                     { { "Response-Signature", "proof" }, { "Sycamoretray-Forward-Result", "122" }, { "Sycamoretray-Forward-Request", "id2" } },
+                                     "body" };
+    const decoded_forward_reply reply = decode(exchanged(encodeForwardAnswer(std::move(answer), request_id("id1"))));
     cr_assert(std::holds_alternative<forward_answered>(reply.reply));
     const auto &answered = std::get<forward_answered>(reply.reply);
     cr_expect(!answered.refused);
     cr_expect_eq(answered.response.body, std::string("body"));
     cr_expect_eq(*findField(answered.response.fields, "Response-Signature"), std::string("proof"));
+    cr_expect(findField(answered.response.fields, "Sycamoretray-Forward-Request") == nullptr);
     cr_expect(reply.peer == peer_outcome::answered);
 }
 
 // Guards against refusals that end a request which another instance could take, or that lose their Retry-After.
 Test(forwarding_codec, refusals)
 {
-    cr_expect(std::holds_alternative<forward_not_taken>(decodeForwardAnswer(exchanged(refusal(result_code::instance_isolated))).reply));
-    cr_expect(decodeForwardAnswer(exchanged(refusal(result_code::instance_isolated))).peer == peer_outcome::isolated);
-    cr_expect(decodeForwardAnswer(exchanged(refusal(result_code::instance_stopping))).peer == peer_outcome::stopping);
-    cr_expect(std::holds_alternative<forward_not_taken>(decodeForwardAnswer(exchanged(refusal(result_code::configuration_stale))).reply));
-    const decoded_forward_reply full = decodeForwardAnswer(exchanged(refusal(result_code::deadline_unreachable)));
+    cr_expect(std::holds_alternative<forward_not_taken>(decode(exchanged(refusal(result_code::instance_isolated))).reply));
+    cr_expect(decode(exchanged(refusal(result_code::instance_isolated))).peer == peer_outcome::isolated);
+    cr_expect(decode(exchanged(refusal(result_code::instance_stopping))).peer == peer_outcome::stopping);
+    cr_expect(std::holds_alternative<forward_not_taken>(decode(exchanged(refusal(result_code::configuration_stale))).reply));
+    const decoded_forward_reply full = decode(exchanged(refusal(result_code::deadline_unreachable)));
     cr_assert(std::holds_alternative<forward_answered>(full.reply));
     cr_expect(std::get<forward_answered>(full.reply).refused);
     cr_expect_eq(std::get<forward_answered>(full.reply).response.status, 503U);
     cr_expect_eq(*findField(std::get<forward_answered>(full.reply).response.fields, "Retry-After"), std::string("0.150"));
-    const decoded_forward_reply unknown = decodeForwardAnswer(exchanged(refusal(result_code::deadline_while_running)));
+    const decoded_forward_reply unknown = decode(exchanged(refusal(result_code::deadline_while_running)));
     cr_expect(!std::get<forward_answered>(unknown.reply).refused);
 }
 
@@ -107,11 +115,11 @@
     http_exchange_result unsent;
     unsent.code = result_code::peer_unreachable;
     unsent.sent = false;
-    cr_expect(std::holds_alternative<forward_not_taken>(decodeForwardAnswer(unsent).reply));
+    cr_expect(std::holds_alternative<forward_not_taken>(decode(unsent).reply));
     http_exchange_result lost;
     lost.code = result_code::server_connection_lost;
-    cr_expect(std::holds_alternative<forward_lost>(decodeForwardAnswer(lost).reply));
-    cr_expect(decodeForwardAnswer(lost).peer == peer_outcome::unreachable);
+    cr_expect(std::holds_alternative<forward_lost>(decode(lost).reply));
+    cr_expect(decode(lost).peer == peer_outcome::unreachable);
 }
 
 // Guards against 404 and 400 for requests that the caller's instance accepted, from an instance with another configuration, and against
@@ -119,7 +127,7 @@
 Test(forwarding_codec, refusals_by_another_configuration)
 {
     for (const result_code code : { result_code::no_matching_service, result_code::key_missing }) {
-        const decoded_forward_reply reply = decodeForwardAnswer(exchanged(refusal(code)));
+        const decoded_forward_reply reply = decode(exchanged(refusal(code)));
         cr_expect(std::holds_alternative<forward_not_taken>(reply.reply));
         cr_expect(reply.peer == peer_outcome::unknown);
     }
@@ -130,6 +138,25 @@
 {
     gateway_answer answer;
     answer.response = http_response{ 404, { { "Response-Signature", "proof" } }, "body" };
-    const decoded_forward_reply reply = decodeForwardAnswer(exchanged(encodeForwardAnswer(std::move(answer), request_id("id1"))));
+    const decoded_forward_reply reply = decode(exchanged(encodeForwardAnswer(std::move(answer), request_id("id1"))));
     cr_expect(std::holds_alternative<forward_answered>(reply.reply));
 }
+
+// Guards against answers to other requests, and errors of another server, that are passed on as an endpoint's.
+Test(forwarding_codec, answer_of_unknown_origin_is_not_passed_on)
+{
+    for (const std::string id : { "id2", "" }) {
+        gateway_answer answer;
+        answer.response = http_response{ 413, {}, "body" };
+        const decoded_forward_reply reply = decode(exchanged(encodeForwardAnswer(std::move(answer), request_id(id))));
+        cr_expect(std::holds_alternative<forward_lost>(reply.reply), "%s", id.c_str());
+    }
+}
+
+// Guards against a request that fails because another instance could not receive it: none of it ran there.
+Test(forwarding_codec, request_that_was_not_received_is_not_taken)
+{
+    for (const result_code code : { result_code::malformed_request, result_code::header_too_large, result_code::body_too_large }) {
+        cr_expect(std::holds_alternative<forward_not_taken>(decode(exchanged(encodeForwardError(code))).reply));
+    }
+}
--- a/tests/unit/gateway_daemon/forwarding_pair_test.cpp
+++ b/tests/unit/gateway_daemon/forwarding_pair_test.cpp
@@ -141,7 +141,7 @@
             [this, sent](gateway_answer given) {
                 http_exchange_result result;
                 result.response = encodeForwardAnswer(std::move(given), sent.request);
-                origin.router.forwarded(sent.id, decodeForwardAnswer(std::move(result)).reply, origin.now);
+                origin.router.forwarded(sent.id, decodeForwardAnswer(std::move(result), sent.request).reply, origin.now);
             },
             receiver.now);
     }
--- /dev/null
+++ b/tests/unit/gateway_daemon/request_forwarder_test.cpp
@@ -0,0 +1,133 @@
+#include "executor/serial_executor.h"
+#include "executor/steady_time.h"
+#include "http_entry/http_server.h"
+#include "sycamoretrayd/gateway/component_settings.h"
+#include "sycamoretrayd/gateway/forwarding_codec.h"
+#include "sycamoretrayd/gateway/request_forwarder.h"
+
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace sycamoretray;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t largeBudget = 64ULL * 1024 * 1024;
+
+/** The server of another instance for forwarded requests, which keeps them unanswered. */
+struct other_instance {
+    other_instance(boost::asio::io_context &context, std::uint64_t memory)
+        : server(context, settings(memory), [this](http_request request, std::shared_ptr<answer_handle> handle) {
+            received.push_back(std::get<gateway_request>(decodeForward(std::move(request))));
+            handles.push_back(std::move(handle));
+        })
+    {
+        cr_assert(!server.start());
+    }
+
+    std::vector<gateway_request> received;
+    std::vector<std::shared_ptr<answer_handle>> handles;
+    http_server server;
+
+    static http_server_settings settings(std::uint64_t memory)
+    {
+        gateway_daemon_settings daemon;
+        daemon.internalAddress = network_address("127.0.0.1:0");
+        return internalServerSettings(daemon, std::make_shared<buffer_budget>(memory));
+    }
+};
+
+struct forwarder_fixture {
+    explicit forwarder_fixture(std::uint64_t memory = largeBudget)
+        : other(context, memory)
+    {
+        forwarder.setReplyHandler([this](forward_id id, forward_reply reply) {
+            replies.emplace_back(id, std::move(reply));
+        });
+        usePeer("127.0.0.1:" + std::to_string(other.server.port()));
+    }
+
+    boost::asio::io_context context;
+    serial_executor executor{ context };
+    metrics_registry metrics;
+    other_instance other;
+    request_forwarder forwarder{ executor, network_address("self:1"), availability_zone("z"), std::make_shared<buffer_budget>(largeBudget), metrics };
+    std::vector<std::pair<forward_id, forward_reply>> replies;
+
+    void usePeer(const std::string &address)
+    {
+        forwarder.setInstances({ { availability_zone("z"), { { network_address(address), 1 } } } });
+    }
+
+    bool forward(std::uint64_t id, const std::string &body = {})
+    {
+        gateway_request request;
+        request.id = request_id("id" + std::to_string(id));
+        request.message.method = "POST";
+        request.message.target = "/a";
+        request.message.fields = { { "Host", "h" }, { "Attempt-Id", request.id.value() } };
+        request.message.body = body;
+        return forwarder.forward(forward_id(id), request, {}, 5s);
+    }
+
+    /** Answers the request that the other instance received as number @p index. */
+    void answer(std::size_t index, const std::string &id)
+    {
+        gateway_answer answer;
+        answer.response = http_response{ 200, {}, "done" };
+        other.handles.at(index)->answer(encodeForwardAnswer(std::move(answer), request_id(id)));
+    }
+
+    template<class Reply>
+    bool last() const
+    {
+        return !replies.empty() && std::holds_alternative<Reply>(replies.back().second);
+    }
+};
+
+} // namespace
+
+// Guards against answers that are not passed on, and against connections that are not used again.
+Test(request_forwarder, answers_on_a_kept_connection)
+{
+    forwarder_fixture fixture;
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        cr_assert(fixture.forward(id));
+        fixture.context.run_for(100ms);
+        cr_assert_eq(fixture.other.received.size(), id);
+        fixture.answer(id - 1, "id" + std::to_string(id));
+        fixture.context.run_for(100ms);
+        cr_assert_eq(fixture.replies.size(), id);
+        cr_expect(fixture.last<forward_answered>());
+    }
+    cr_expect_eq(fixture.other.server.connections(), 1U);
+}
+
+// Guards against an answer to another request that is passed on.
+Test(request_forwarder, answer_to_another_request_is_not_passed_on)
+{
+    forwarder_fixture fixture;
+    fixture.forward(1);
+    fixture.context.run_for(100ms);
+    cr_assert_eq(fixture.other.received.size(), 1U);
+    fixture.answer(0, "id2");
+    fixture.context.run_for(100ms);
+    cr_expect(fixture.last<forward_lost>());
+}
+
+// Guards against 413 for a request that another instance has no memory to receive, while a third one could take it.
+Test(request_forwarder, other_instance_without_memory_does_not_take_a_request)
+{
+    forwarder_fixture fixture(10000);
+    fixture.forward(1, std::string(100000, 'x'));
+    fixture.context.run_for(200ms);
+    cr_expect(fixture.other.received.empty());
+    cr_expect(fixture.last<forward_not_taken>());
+}
