Ignore the failure of an aborted forward, and keep connections that are in use

If the caller left, or its time ended, after a connection pool had posted the failure of an exchange, the callback dereferenced the entry of a forward that was gone, and the process crashed. For endpoints, the same order told the isolation monitor twice that the request had finished.

Both callbacks now return if the entry is absent, and pools with open requests are not closed.

--- a/apps/sycamoretrayd/gateway/endpoint_connections.cpp
+++ b/apps/sycamoretrayd/gateway/endpoint_connections.cpp
@@ -6,6 +6,7 @@
 #include "platform/request_codec.h"
 
 #include <map>
+#include <set>
 #include <utility>
 
 namespace sycamoretray
@@ -168,7 +169,10 @@
     std::string wire = platform::encodeRequest(request, endpoint.incarnation.endpoint, timeLeft);
     const request_id id = request.id;
     const auto done = [this, attempt, id, address](http_exchange_result result) {
-        d->attempts.erase(attempt);
+        if (d->attempts.erase(attempt) == 0) {
+            // It was aborted after its failure had been posted.
+            return;
+        }
         d->observer.requestFinished(address);
         d->replied(attempt, platform::decodeReply(std::move(result), id));
     };
@@ -227,7 +231,13 @@
     const auto isUnused = [&](const auto &item) {
         return now - item.second.used > unusedPoolTimeout;
     };
-    std::erase_if(d->pools, isUnused);
+    std::set<network_address> busy;
+    for (const auto &[id, running] : d->attempts) {
+        busy.insert(running.address);
+    }
+    std::erase_if(d->pools, [&](const auto &item) {
+        return isUnused(item) && !busy.contains(item.first);
+    });
     std::erase_if(d->grantConnections, isUnused);
 }
 
--- a/apps/sycamoretrayd/gateway/request_forwarder.cpp
+++ b/apps/sycamoretrayd/gateway/request_forwarder.cpp
@@ -7,6 +7,7 @@
 #include "sycamoretrayd/gateway/forwarding_codec.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -96,6 +97,10 @@
     void finish(forward_id id, const request_id &request, http_exchange_result result)
     {
         const auto found = forwards.find(id);
+        if (found == forwards.end()) {
+            // It was aborted after its failure had been posted.
+            return;
+        }
         const network_address peer = found->second.peer;
         forwards.erase(found);
         decoded_forward_reply decoded = decodeForwardAnswer(std::move(result), request);
@@ -174,8 +179,12 @@
 
 void request_forwarder::closeUnused(monotonic_time now)
 {
-    std::erase_if(d->pools, [now](const auto &item) {
-        return now - item.second.used > unusedPoolTimeout;
+    std::set<network_address> busy;
+    for (const auto &[id, running] : d->forwards) {
+        busy.insert(running.peer);
+    }
+    std::erase_if(d->pools, [&](const auto &item) {
+        return now - item.second.used > unusedPoolTimeout && !busy.contains(item.first);
     });
 }
 
--- a/tests/unit/gateway_daemon/request_forwarder_test.cpp
+++ b/tests/unit/gateway_daemon/request_forwarder_test.cpp
@@ -131,3 +131,31 @@
     cr_expect(fixture.other.received.empty());
     cr_expect(fixture.last<forward_not_taken>());
 }
+
+// Guards against a crash when a caller leaves while the failure of its request is on its way.
+Test(request_forwarder, aborted_request_may_have_failed_already)
+{
+    forwarder_fixture fixture;
+    fixture.usePeer("no address");
+    cr_assert(fixture.forward(1));
+    fixture.forwarder.abort(forward_id(1));
+    fixture.context.run_for(50ms);
+    cr_expect(fixture.replies.empty());
+}
+
+// Guards against a long request that gets no answer because its connection counts as unused.
+Test(request_forwarder, connection_in_use_is_kept)
+{
+    forwarder_fixture fixture;
+    fixture.forward(1);
+    fixture.context.run_for(100ms);
+    cr_assert_eq(fixture.other.received.size(), 1U);
+    fixture.forwarder.closeUnused(steadyNow() + 1h);
+    fixture.answer(0, "id1");
+    fixture.other.handles.clear();
+    fixture.context.run_for(100ms);
+    cr_expect(fixture.last<forward_answered>());
+    fixture.forwarder.closeUnused(steadyNow() + 1h);
+    fixture.context.run_for(100ms);
+    cr_expect_eq(fixture.other.server.connections(), 0U);
+}
