Ask an instance that lets a request's time pass last for a second

The system of an instance that has stopped running goes on acknowledging data, so that its connections do not fail. A request that it let time out told the sender nothing: the next one went there again if it was the first choice.

A request that ends at its deadline, by the exchange or by the gateway that gives it up, now marks the instance as silent for 1 s if it has answered nothing since the request was sent. Silent instances are chosen after all others, and still if there are no others: slow endpoints must not leave an isolated instance without any.

Tests: peer_chooser/silent_instance_is_chosen_last and request_forwarder/instance_that_lets_the_time_pass_is_asked_last fail without the change, peer_chooser/instance_that_answers_others_is_not_silent guards the condition. gateway_test (64) and gateway_daemon_test (20) pass.

--- a/apps/sycamoretrayd/gateway/forwarding_codec.cpp
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.cpp
@@ -135,7 +135,7 @@
     }
     if (result.code != result_code::ok) {
         const bool timedOut = result.code == result_code::deadline_while_running;
-        return { forward_lost{}, timedOut ? peer_outcome::unknown : peer_outcome::unreachable };
+        return { forward_lost{}, timedOut ? peer_outcome::unanswered : peer_outcome::unreachable };
     }
     if (!answersForward(result.response, id)) {
         return { forward_lost{}, peer_outcome::unknown };
--- a/apps/sycamoretrayd/gateway/request_forwarder.cpp
+++ b/apps/sycamoretrayd/gateway/request_forwarder.cpp
@@ -20,7 +20,9 @@
 
 constexpr time_span connectTimeout = std::chrono::milliseconds(300);
 constexpr time_span idleTimeout = std::chrono::seconds(10);
+// For data that the peer's system does not acknowledge. A connection without data on the way fails after about 2 s.
 constexpr time_span deadPeerTimeout = std::chrono::seconds(1);
+constexpr time_span deadlineTolerance = std::chrono::milliseconds(5);
 constexpr std::uint32_t maxConnectionsPerPeer = 64;
 constexpr time_span unusedPoolTimeout = std::chrono::seconds(20);
 
@@ -52,6 +54,8 @@
 struct running_forward {
     network_address peer;
     std::uint64_t exchange = 0;
+    monotonic_time sent;
+    monotonic_time deadline;
 };
 
 } // namespace
@@ -94,6 +98,15 @@
         metrics->counter("sycamoretray_forwards_total{outcome=\"" + std::string(outcome) + "\"}").add();
     }
 
+    void release(const running_forward &running, peer_outcome outcome)
+    {
+        if (outcome == peer_outcome::unanswered) {
+            chooser.unanswered(running.peer, running.sent, steadyNow());
+        } else {
+            chooser.finished(running.peer, outcome, steadyNow());
+        }
+    }
+
     void finish(forward_id id, const request_id &request, http_exchange_result result)
     {
         const auto found = forwards.find(id);
@@ -101,14 +114,14 @@
             // It was aborted after its failure had been posted.
             return;
         }
-        const network_address peer = found->second.peer;
+        const running_forward running = found->second;
         forwards.erase(found);
         decoded_forward_reply decoded = decodeForwardAnswer(std::move(result), request);
-        chooser.finished(peer, decoded.peer, steadyNow());
+        release(running, decoded.peer);
         const std::string_view outcome = outcomeName(decoded.reply);
         count(outcome);
         if (!std::holds_alternative<forward_answered>(decoded.reply)) {
-            logEvent("forward_failed", { { "id", request.value() }, { "peer", peer.value() }, { "outcome", std::string(outcome) } });
+            logEvent("forward_failed", { { "id", request.value() }, { "peer", running.peer.value() }, { "outcome", std::string(outcome) } });
         }
         replied(id, std::move(decoded.reply));
     }
@@ -161,7 +174,8 @@
     matching.identity = request.id.value();
     const bool head = request.message.method == "HEAD";
     const std::uint64_t exchange = d->poolOf(*peer).exchange(encodeForward(request, mark, timeLeft), head, timeLeft, done, std::move(matching));
-    d->forwards[id] = { *peer, exchange };
+    const monotonic_time now = steadyNow();
+    d->forwards[id] = { *peer, exchange, now, now + timeLeft };
     return true;
 }
 
@@ -173,7 +187,8 @@
     }
     const running_forward running = found->second;
     d->forwards.erase(found);
-    d->chooser.finished(running.peer, peer_outcome::unknown, steadyNow());
+    // The gateway gives a request up at its deadline, when the exchange has not ended yet.
+    d->release(running, steadyNow() >= running.deadline - deadlineTolerance ? peer_outcome::unanswered : peer_outcome::unknown);
     d->poolOf(running.peer).abort(running.exchange);
 }
 
--- a/libs/gateway/peer_chooser.cpp
+++ b/libs/gateway/peer_chooser.cpp
@@ -13,6 +13,7 @@
 constexpr time_span isolatedTime = std::chrono::seconds(1);
 constexpr time_span unreachableTime = std::chrono::seconds(2);
 constexpr time_span stoppingTime = std::chrono::seconds(6);
+constexpr time_span silentTime = std::chrono::seconds(1);
 // An instance that answered in this time probably takes the next request as well.
 constexpr time_span answeredTime = std::chrono::seconds(3);
 // One that did not is chosen only if it has this much less to do.
@@ -30,6 +31,7 @@
     case peer_outcome::unreachable:
         return unreachableTime;
     case peer_outcome::answered:
+    case peer_outcome::unanswered:
     case peer_outcome::unknown:
         break;
     }
@@ -72,9 +74,11 @@
         }
         const bool answered = hasAnswered(state, now);
         zone.anyAnswered = zone.anyAnswered || answered;
+        const bool silent = state.silentUntil > now;
         const double cost = (state.outstanding + 1) / std::max(0.01, state.peer.weight) * (answered ? 1 : untriedFactor);
-        if (zone.best == nullptr || std::tuple(cost, state.used) < std::tuple(zone.bestCost, zone.best->used)) {
+        if (zone.best == nullptr || std::tuple(silent, cost, state.used) < std::tuple(zone.bestSilent, zone.bestCost, zone.best->used)) {
             zone.best = &state;
+            zone.bestSilent = silent;
             zone.bestCost = cost;
         }
     }
@@ -89,7 +93,7 @@
         if (zone.best == nullptr) {
             continue;
         }
-        const bool lost = zone.avoided >= avoidedLimit && !zone.anyAnswered;
+        const bool lost = zone.bestSilent || (zone.avoided >= avoidedLimit && !zone.anyAnswered);
         const std::tuple rank(lost, name != m_zone, zone.bestCost, zone.best->used);
         if (best == nullptr || rank < bestRank) {
             best = zone.best;
@@ -115,10 +119,21 @@
     if (outcome == peer_outcome::answered) {
         state.answeredAt = now;
         state.avoidedUntil = {};
-    } else if (outcome != peer_outcome::unknown) {
+        state.silentUntil = {};
+    } else if (avoidanceTime(outcome) > time_span::zero()) {
         state.answeredAt = {};
         state.avoidedUntil = now + avoidanceTime(outcome);
     }
 }
 
+void peer_chooser::unanswered(const network_address &peer, monotonic_time sent, monotonic_time now)
+{
+    finished(peer, peer_outcome::unanswered, now);
+    const auto found = m_peers.find(peer);
+    if (found != m_peers.end() && found->second.answeredAt < sent) {
+        found->second.answeredAt = {};
+        found->second.silentUntil = now + silentTime;
+    }
+}
+
 } // namespace sycamoretray
--- a/libs/gateway/peer_chooser.h
+++ b/libs/gateway/peer_chooser.h
@@ -25,8 +25,10 @@
     /** It reaches no endpoint either. */
     isolated,
     stopping,
-    /** It could not be reached, or did not answer. */
+    /** It could not be reached, or the connection to it was lost. */
     unreachable,
+    /** The time of the request ended without an answer. */
+    unanswered,
     /** The request ended for a reason that says nothing about the instance. */
     unknown,
 };
@@ -51,12 +53,19 @@
     /** Ends a request that was outstanding at @p peer. */
     void finished(const network_address &peer, peer_outcome outcome, monotonic_time now);
 
+    /**
+     * Ends a request that was outstanding at @p peer since @p sent and was not answered in its time. If the peer has answered no other one
+     * since, it is chosen only after all others for a while: it may have stopped running while its system still acknowledges data.
+     */
+    void unanswered(const network_address &peer, monotonic_time sent, monotonic_time now);
+
 private:
     struct peer_state {
         forwarding_peer peer;
         std::uint32_t outstanding = 0;
         monotonic_time avoidedUntil{};
         monotonic_time answeredAt{};
+        monotonic_time silentUntil{};
         /** Of the last request, to spread requests over instances that are equal otherwise. */
         std::uint64_t used = 0;
     };
@@ -64,6 +73,7 @@
         std::size_t avoided = 0;
         bool anyAnswered = false;
         peer_state *best = nullptr;
+        bool bestSilent = false;
         double bestCost = 0;
     };
 
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -43,7 +43,8 @@
     if (m_unresponsivePeerTimeout == time_span::zero()) {
         return;
     }
-    // The first keep-alive probe is sent after half of the timeout; the connection fails when the other half passes unanswered.
+    // The first keep-alive probe is sent after half of the timeout, at least 1 s. With TCP_USER_TIMEOUT, the connection fails when that time
+    // has passed at the next probe, whatever the count.
     using user_timeout_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     using keepalive_idle_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
     using keepalive_interval_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
--- a/libs/http_client/http_connection_pool.h
+++ b/libs/http_client/http_connection_pool.h
@@ -42,7 +42,11 @@
      * wait for it until their timeout, fail unsent with server_connection_lost.
      */
     bool singleConnection = false;
-    /** Approximate time after which a connection is closed if its peer acknowledges neither data nor keep-alive probes; 0: system default. */
+    /**
+     * Time after which a connection is closed if its peer acknowledges none of the data that was sent; 0: system default. Without such data,
+     * it is closed at the first second after this time at which a keep-alive probe is unanswered: after 2 s if the value is 1 or 2 s. The
+     * peer's system acknowledges data even if its process has stopped running.
+     */
     time_span unresponsivePeerTimeout{};
     /** Close the idle connections too if a request times out. They may have become unresponsive together, and each would cost another timeout. */
     bool closeIdleAfterTimeout = false;
--- a/tests/unit/gateway/peer_chooser_test.cpp
+++ b/tests/unit/gateway/peer_chooser_test.cpp
@@ -98,3 +98,42 @@
     cr_expect(!chooser.choose(now + 100ms));
     cr_expect(chooser.choose(now + 3s).has_value());
 }
+
+// Guards against an instance that does not run, though its connections live on, and lets the time of one request after another pass.
+Test(peer_chooser, silent_instance_is_chosen_last)
+{
+    peer_chooser chooser(availability_zone("z0"));
+    chooser.setPeers(peersOf(2, 1));
+    const monotonic_time sent(100s);
+    const auto silent = chooser.choose(sent);
+    cr_assert(silent.has_value());
+    cr_expect_eq(zoneOf(*silent), '0');
+    const monotonic_time now = sent + 1s;
+    chooser.unanswered(*silent, sent, now);
+    for (int i = 0; i < 5; ++i) {
+        const auto peer = chooser.choose(now + 100ms);
+        cr_assert(peer.has_value());
+        cr_expect_eq(zoneOf(*peer), '1');
+        chooser.finished(*peer, peer_outcome::isolated, now + 100ms);
+        const auto last = chooser.choose(now + 100ms);
+        cr_assert(last.has_value(), "no instance is asked");
+        cr_expect_eq(zoneOf(*last), '0');
+        chooser.finished(*last, peer_outcome::unknown, now + 100ms);
+        chooser.setPeers(peersOf(1, 1));
+        chooser.setPeers(peersOf(2, 1));
+    }
+    cr_expect_eq(zoneOf(chooser.choose(now + 1100ms).value()), '0');
+}
+
+// Guards against an instance that is avoided because one request took long, while it answers others.
+Test(peer_chooser, instance_that_answers_others_is_not_silent)
+{
+    peer_chooser chooser(availability_zone("z0"));
+    chooser.setPeers(peersOf(2, 1));
+    const monotonic_time sent(100s);
+    const auto peer = chooser.choose(sent);
+    chooser.choose(sent);
+    chooser.finished(*peer, peer_outcome::answered, sent + 500ms);
+    chooser.unanswered(*peer, sent, sent + 1s);
+    cr_expect_eq(zoneOf(chooser.choose(sent + 1s).value()), '0');
+}
--- a/tests/unit/gateway_daemon/request_forwarder_test.cpp
+++ b/tests/unit/gateway_daemon/request_forwarder_test.cpp
@@ -66,7 +66,7 @@
         forwarder.setInstances({ { availability_zone("z"), { { network_address(address), 1 } } } });
     }
 
-    bool forward(std::uint64_t id, const std::string &body = {})
+    bool forward(std::uint64_t id, const std::string &body = {}, time_span timeLeft = 5s)
     {
         gateway_request request;
         request.id = request_id("id" + std::to_string(id));
@@ -74,7 +74,7 @@
         request.message.target = "/a";
         request.message.fields = { { "Host", "h" }, { "Attempt-Id", request.id.value() } };
         request.message.body = body;
-        return forwarder.forward(forward_id(id), request, {}, 5s);
+        return forwarder.forward(forward_id(id), request, {}, timeLeft);
     }
 
     /** Answers the request that the other instance received as number @p index. */
@@ -159,3 +159,23 @@
     fixture.context.run_for(100ms);
     cr_expect_eq(fixture.other.server.connections(), 0U);
 }
+
+// Guards against one request after another that waits for an instance that does not run, though its connections live on.
+Test(request_forwarder, instance_that_lets_the_time_pass_is_asked_last)
+{
+    forwarder_fixture fixture;
+    other_instance third(fixture.context, largeBudget);
+    const network_address frozen("127.0.0.1:" + std::to_string(fixture.other.server.port()));
+    const network_address running("127.0.0.1:" + std::to_string(third.server.port()));
+    fixture.forwarder.setInstances({ { availability_zone("z"), { { frozen, 1 } } }, { availability_zone("y"), { { running, 1 } } } });
+    for (const bool aborts : { false, true }) {
+        fixture.forward(1, {}, 200ms);
+        fixture.context.run_for(aborts ? 199ms : 300ms);
+        fixture.forwarder.abort(forward_id(1));
+        cr_expect_eq(fixture.other.received.size(), aborts ? 2U : 1U);
+        fixture.forward(2);
+        fixture.context.run_for(100ms);
+        cr_expect_eq(third.received.size(), aborts ? 2U : 1U);
+        fixture.context.run_for(1100ms);
+    }
+}
