--- a/tests/integration/gateway_test.py
+++ b/tests/integration/gateway_test.py
@@ -121,7 +121,7 @@
         self.assertGreater(len(heard), 0)
 
     def test_endpoint_says_that_it_leaves(self):
-        """Guards against requests to an endpoint that left by its own word, which the directory calls ready, with and without the store."""
+        """Guards against requests to an endpoint that announced in an answer that it is leaving, which the directory calls ready, with and without the store."""
         self.assert_not_used_after_leaving(self.credit_endpoints[0], "/credit/")
         self.assert_not_used_after_leaving(self.endpoints[0], "/look/")
         self.assertEqual(self.endpoints[0].held_count(), 0)
