Test that an assigner remembers an earlier one that may still send

Two holders of keys were possible: an assigner that took over from a lost one, was interrupted, and took the role again took its own record for a confirmation.

--- a/tests/unit/ownership_runner/ownership_runner_test.cpp
+++ b/tests/unit/ownership_runner/ownership_runner_test.cpp
@@ -76,6 +76,28 @@
     cr_expect_not(second->runner.stopAssigningBefore(laterEpoch));
 }
 
+// Guards against two holders of keys: an assigner that has taken over from a lost one takes the role again after an isolation, and takes its own record
+// for a confirmation that the lost one has stopped.
+Test(ownership_runner, assigner_that_takes_the_role_again_remembers_an_earlier_one)
+{
+    elected_site site({ 1, 1 });
+    electing_instance *lost = site.runUntilAssigned();
+    cr_assert_not_null(lost);
+    std::erase_if(site.instances(), [lost](const auto &each) {
+        return each.get() == lost;
+    });
+    cr_assert(site.runUntilAssignerOtherThan(nullptr, 3s).has_value());
+    site.run(500ms);
+    electing_instance *second = site.assigner();
+    cr_assert_not_null(second);
+    second->runner.setIsolated(true);
+    site.run(300ms);
+    second->runner.setIsolated(false);
+    cr_assert(site.runUntilAssignerOtherThan(nullptr, 3s).has_value());
+    constexpr std::uint64_t laterEpoch = 1ULL << 40;
+    cr_expect_not(second->runner.stopAssigningBefore(laterEpoch));
+}
+
 // Guards against instances that all call the store for ever, because they stand in for an assigner that has no keys to assign.
 Test(ownership_runner, nobody_stands_in_if_no_service_is_divided_by_key)
 {
