--- a/tests/unit/ownership_runner/endpoint_connections_test.cpp
+++ b/tests/unit/ownership_runner/grant_connection_test.cpp
@@ -75,7 +75,7 @@
 
 // Guards against ranges that are never granted again: a grant that is sent when another one fails replaces the connection, and those that waited
 // for the former connection get no outcome.
-Test(endpoint_connections, grants_that_wait_for_a_refused_connection_all_get_an_outcome)
+Test(grant_connection, grants_that_wait_for_a_refused_connection_all_get_an_outcome)
 {
     boost::asio::io_context context;
     const serial_executor executor(context);
@@ -100,7 +100,7 @@
 }
 
 // Guards against an endpoint that counts as lost because it closed the connection while other grants waited for it.
-Test(endpoint_connections, grants_behind_an_answer_that_closes_the_connection_say_nothing_of_the_endpoint)
+Test(grant_connection, grants_behind_an_answer_that_closes_the_connection_say_nothing_of_the_endpoint)
 {
     boost::asio::io_context context;
     const serial_executor executor(context);
@@ -121,7 +121,7 @@
 }
 
 // Guards against a token that is sent again on another connection after the one on which it was accepted was closed.
-Test(endpoint_connections, renewal_is_not_sent_on_another_connection)
+Test(grant_connection, renewal_is_not_sent_on_another_connection)
 {
     boost::asio::io_context context;
     const serial_executor executor(context);
