--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -161,6 +161,12 @@
         self.lost_on_kept = []
         self.statuses = {}
 
+    def sent(self, attempt):
+        """Called before a request is sent."""
+
+    def answered(self, attempt, reply):
+        """Called with each answer."""
+
     def run(self):
         connection, answered = None, 0
         number = 0
@@ -172,6 +178,7 @@
             if connection is None:
                 connection, answered = http.client.HTTPConnection(self.address, timeout=limit_ms / 1000 + 2), 0
             try:
+                self.sent(attempt)
                 self.record.write("caller", self.name, "sends", attempt, method, path, "key", key, "on a kept connection" if answered else "on a new connection")
                 connection.request(method, path, body, fields)
                 reply = connection.getresponse()
@@ -179,6 +186,7 @@
                 self.record.write("caller", self.name, "gets", attempt, reply.status, text[:60])
                 self.statuses[reply.status] = self.statuses.get(reply.status, 0) + 1
                 answered += 1
+                self.answered(attempt, reply)
                 if reply.will_close:
                     connection.close()
                     connection = None
