Declare what evacuation, cold endpoints and uneven load share

The directory entry, the load report, the permit request and the service definition get the fields that evacuated zones, cold endpoints, momentary run times and returning callers need, so that the parts can be built side by side. The fields are appended to the permit messages; an instance of the version before leaves them out.

--- a/apps/sycamoretrayd/gateway/component_settings.cpp
+++ b/apps/sycamoretrayd/gateway/component_settings.cpp
@@ -83,6 +83,9 @@
     result.retries = { settings.retryShare, settings.retrySlack, settings.retryWindow };
     // Counted from the arrival of the drain notice, which takes up to 2 s if relays are lost.
     result.drainTime = settings.drainLimit / 4;
+    // Counted from the arrival of the record, which takes up to 2 s if relays are lost.
+    constexpr double usedShareOfEvacuationLimit = 0.6;
+    result.evacuationTime = std::chrono::duration_cast<time_span>(settings.evacuationLimit * usedShareOfEvacuationLimit);
     return result;
 }
 
--- a/libs/directory/endpoint_directory.h
+++ b/libs/directory/endpoint_directory.h
@@ -15,6 +15,10 @@
     log_offset offset;
     /** Time at which the current state (ready or draining) of this incarnation was first seen. */
     monotonic_time stateSince{};
+    /** End of the time in which the endpoint is cold: slow, and lost if it gets more requests than its service's cold request rate. */
+    monotonic_time coldUntil{};
+    /** Set while the operator evacuates the endpoint's zone: the time since which this is known. Nothing new may be sent to it. */
+    std::optional<monotonic_time> evacuatedSince;
     /** Set if the entry was removed while the source was unavailable: the endpoint is kept until this time, because it may register again. */
     std::optional<monotonic_time> missingUntil;
 };
--- a/libs/directory/request_routes.h
+++ b/libs/directory/request_routes.h
@@ -2,9 +2,11 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "base/request_rate.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +47,10 @@
     std::uint32_t maxConnections = 100;
     /** Endpoints own ranges of keys and refuse requests for other keys. */
     bool dividedByKey = false;
+    /** Time for which an endpoint is cold after its start. */
+    time_span coldTime{};
+    /** Requests a second that a cold endpoint takes from all instances together; nothing if they are not limited. */
+    std::optional<request_rate> coldRequestRate;
 };
 
 /**
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -49,6 +49,11 @@
     service_retry_budget_settings retries;
     /** Time for which a draining endpoint still gets requests for keys that it holds; shorter than the deployment's drain limit. */
     time_span drainTime = std::chrono::milliseconds(1300);
+    /**
+     * Time for which an endpoint of an evacuated zone still gets requests for keys that it holds, counted from when this instance learned of
+     * the evacuation; shorter than the deployment's limit.
+     */
+    time_span evacuationTime = std::chrono::seconds(3);
     /** New requests are refused beyond this number of unanswered ones. */
     std::size_t maxUnansweredRequests = 4096;
     /** Permit ids start above this number. Differs between incarnations of an instance, as coordinators may still know permits of an earlier one. */
--- a/libs/gateway/gateway_request.h
+++ b/libs/gateway/gateway_request.h
@@ -45,6 +45,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t workerSlots = 0;
+    /** How long work takes on the endpoint's machine at this moment, in percent of the usual time; nothing if not reported. */
+    std::optional<std::uint32_t> runTimePercent = std::nullopt;
 };
 
 enum class reply_kind {
--- a/libs/gateway/permit_source.h
+++ b/libs/gateway/permit_source.h
@@ -32,6 +32,10 @@
     time_span typicalRunTime{};
     /** Time within which the answer is useful; the permit is refused if a later answer is expected. */
     time_span maxAnswerTime{};
+    /**
+     * Identifies the caller's request, the same for its first try and its retries at any instance; nothing if the sender does not state it.
+     */
+    std::optional<request_fingerprint> fingerprint;
     /** Endpoints that were tried before; used only if there is no other. */
     std::vector<endpoint_id> triedEndpoints;
     /** An endpoint that may be used names a request limit, which the instances can keep only together. Not passed to the coordinator. */
--- a/libs/permits/permit_message.cpp
+++ b/libs/permits/permit_message.cpp
@@ -46,6 +46,18 @@
     result.push_back(std::move(tried));
     result.push_back(request.ownerLimit ? json::array({ request.ownerLimit->rate.value(), request.ownerLimit->age.count() }) : json());
     result.push_back(static_cast<int>(request.role));
+    if (request.fingerprint) {
+        result.push_back(request.fingerprint->value());
+    }
+    return result;
+}
+
+json encodeLoad(const endpoint_load &load)
+{
+    json result = json::array({ load.running, load.waiting, load.workerSlots });
+    if (load.runTimePercent) {
+        result.push_back(*load.runTimePercent);
+    }
     return result;
 }
 
@@ -58,7 +70,7 @@
     encoded.push_back(result.sent);
     encoded.push_back(result.misdirected);
     encoded.push_back(result.status);
-    encoded.push_back(result.load ? json::array({ result.load->running, result.load->waiting, result.load->workerSlots }) : json());
+    encoded.push_back(result.load ? encodeLoad(*result.load) : json());
     encoded.push_back(result.requestLimit ? json(result.requestLimit->value()) : json());
     return encoded;
 }
@@ -144,6 +156,11 @@
         request.ownerLimit = decodeKnownLimit(limit);
     }
     request.role = decodeLimitRole(message.at(11).get<int>());
+    // Instances of earlier versions leave it out.
+    constexpr std::size_t fingerprintIndex = 12;
+    if (message.size() > fingerprintIndex) {
+        request.fingerprint = request_fingerprint(message.at(fingerprintIndex).get<std::uint64_t>());
+    }
     return { request };
 }
 
@@ -156,6 +173,17 @@
     return kind;
 }
 
+endpoint_load decodeLoad(const json &load)
+{
+    constexpr std::size_t runTimePercentIndex = 3;
+    endpoint_load result{ load.at(0).get<std::uint32_t>(), load.at(1).get<std::uint32_t>(), load.at(2).get<std::uint32_t>(), std::nullopt };
+    // Instances of earlier versions leave it out.
+    if (load.size() > runTimePercentIndex) {
+        result.runTimePercent = load.at(runTimePercentIndex).get<std::uint32_t>();
+    }
+    return result;
+}
+
 permit_return decodeReturn(permit_id id, const json &message)
 {
     permit_return result;
@@ -166,7 +194,7 @@
     result.result.misdirected = message.at(5).get<bool>();
     result.result.status = message.at(6).get<std::uint32_t>();
     if (const json &load = message.at(7); !load.is_null()) {
-        result.result.load = endpoint_load{ load.at(0).get<std::uint32_t>(), load.at(1).get<std::uint32_t>(), load.at(2).get<std::uint32_t>() };
+        result.result.load = decodeLoad(load);
     }
     if (const json &limit = message.at(8); !limit.is_null()) {
         result.result.requestLimit = decodeRate(limit);
--- a/libs/settings/gateway_daemon_settings.cpp
+++ b/libs/settings/gateway_daemon_settings.cpp
@@ -59,6 +59,7 @@
     settings.memberTimeToLive = readSeconds(reader, "member_ttl_s", settings.memberTimeToLive);
     settings.longestGrant = readSeconds(reader, "longest_grant_s", settings.longestGrant);
     settings.drainLimit = readSeconds(reader, "drain_limit_s", settings.drainLimit);
+    settings.evacuationLimit = readSeconds(reader, "evacuation_limit_s", settings.evacuationLimit);
     settings.stopLimit = readSeconds(reader, "stop_limit_s", settings.stopLimit);
     constexpr double maxRetrySlack = 1e6;
     settings.retryShare = reader.realNumber("retry_share", settings.retryShare, 0, 1);
@@ -98,6 +99,7 @@
         { "member_ttl_s", inSeconds(settings.memberTimeToLive) },
         { "longest_grant_s", inSeconds(settings.longestGrant) },
         { "drain_limit_s", inSeconds(settings.drainLimit) },
+        { "evacuation_limit_s", inSeconds(settings.evacuationLimit) },
         { "stop_limit_s", inSeconds(settings.stopLimit) },
         { "retry_share", settings.retryShare },
         { "retry_slack", settings.retrySlack },
--- a/libs/settings/gateway_daemon_settings.h
+++ b/libs/settings/gateway_daemon_settings.h
@@ -30,6 +30,8 @@
     time_span longestGrant = std::chrono::seconds(10);
     /** Time for which requests may still be sent to an endpoint after it has announced that it is draining. */
     time_span drainLimit = std::chrono::seconds(2);
+    /** Time after the operator's request to evacuate a zone from which no request may reach an endpoint of the zone. */
+    time_span evacuationLimit = std::chrono::seconds(5);
     /** Time from the stop signal until the process must have exited. */
     time_span stopLimit = std::chrono::seconds(6);
     /** Retry budget: retries per request, plus retrySlack retries per retryWindow for all instances together. */
