Reject responses whose status is no final or interim status

The parser accepted any three digits. A response with status 000 whose body ends with the connection, and one with a status above 599, reached the caller as an answer; 000 with a length was taken for an interim response. Such a response is malformed now, so that the attempt counts as failed.

--- a/libs/http_message/http_parser.cpp
+++ b/libs/http_message/http_parser.cpp
@@ -44,8 +44,15 @@
         }
     }
 
-    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/, beast::error_code & /*ec*/) override
+    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/, beast::error_code &ec) override
     {
+        constexpr int minStatus = 100;
+        constexpr int maxStatus = 599;
+        // Beast accepts any three digits. Other numbers have no meaning to a caller, who could take them for an answer.
+        if (code < minStatus || code > maxStatus) {
+            ec = http::error::bad_status;
+            return;
+        }
         if constexpr (!isRequest) {
             message.status = static_cast<std::uint32_t>(code);
         }
--- a/tests/unit/http_message/http_parser_test.cpp
+++ b/tests/unit/http_message/http_parser_test.cpp
@@ -177,6 +177,36 @@
     cr_expect_eq(parser.state(), http_parse_state::complete);
 }
 
+// Guards against a response of an endpoint in trouble whose status is no final status, and that reaches the caller as an answer.
+Test(http_response_parser, rejects_a_status_without_meaning)
+{
+    http_limits limits;
+    limits.allowCloseDelimitedBody = true;
+    for (const char *status : { "000", "001", "099", "600", "999", "1000", "20", "-20", "abc", "" }) {
+        for (const char *framing : { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+            const std::string body = framing[0] == 'T' ? "5\r\nhello\r\n0\r\n\r\n" : "hello";
+            http_response_parser parser = parseResponse(std::string("HTTP/1.1 ") + status + " Reason\r\n" + framing + "\r\n" + body, false, limits);
+            parser.finishAtEof();
+            cr_expect_eq(parser.state(), http_parse_state::failed, "status %s, %s", status, framing);
+        }
+    }
+    for (const char *status : { "200", "404", "599" }) {
+        http_response_parser parser = parseResponse(std::string("HTTP/1.1 ") + status + " Reason\r\nContent-Length: 0\r\n\r\n");
+        cr_expect_eq(parser.state(), http_parse_state::complete, "status %s", status);
+    }
+}
+
+// Guards against interim responses without end, which would hold a request until its deadline.
+Test(http_response_parser, gives_up_after_some_interim_responses)
+{
+    std::string responses;
+    constexpr int tooMany = 8;
+    for (int i = 0; i < tooMany; ++i) {
+        responses += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    cr_expect_eq(parseResponse(responses + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").state(), http_parse_state::failed);
+}
+
 // Guards against callers that set Sycamoretray fields, also spelled with underscores, which some servers treat as hyphens.
 Test(http_message, removes_own_and_connection_fields)
 {
