Know how long endpoints are cold

The remaining cold time of an entry was counted from the time since which the state of the endpoint was known, so that an endpoint that becomes cold without a restart counted as warm. listed_endpoint::coldUntil now counts from the first reading of the record that states the time. A change of it is a change of the directory.

--- a/libs/directory/endpoint_directory.cpp
+++ b/libs/directory/endpoint_directory.cpp
@@ -34,6 +34,11 @@
 }
 
 bool endpoint_directory::apply(const directory_record &record, monotonic_time now)
+{
+    return applyRecord(record, false, now);
+}
+
+bool endpoint_directory::applyRecord(const directory_record &record, bool restored, monotonic_time now)
 {
     m_postponed.erase(record.id);
     const auto known = m_endpoints.find(record.id);
@@ -44,7 +49,7 @@
     if (known != m_endpoints.end() && record.entry && record.entry->incarnation.startedAtMs < known->second.entry.incarnation.startedAtMs) {
         return false;
     }
-    return record.entry ? insertOrUpdate(record, now) : remove(record.id, now);
+    return record.entry ? insertOrUpdate(record, restored, now) : remove(record.id, now);
 }
 
 bool endpoint_directory::applyListing(const std::vector<directory_record> &listing, store_era era, log_offset end, monotonic_time now)
@@ -93,7 +98,7 @@
         m_postponed[record.id] = { record, now + postponement };
         return false;
     }
-    return apply(record, now);
+    return applyRecord(record, true, now);
 }
 
 bool endpoint_directory::setLeaving(const endpoint_incarnation &incarnation, monotonic_time now)
@@ -122,7 +127,22 @@
     return leaving ? std::optional(found->second.since) : std::nullopt;
 }
 
-bool endpoint_directory::insertOrUpdate(const directory_record &record, monotonic_time now)
+monotonic_time endpoint_directory::coldUntil(const listed_endpoint &known, const directory_record &record, bool restored, monotonic_time now)
+{
+    const time_span remaining = record.entry->warmupRemaining;
+    if (!(known.entry.incarnation == record.entry->incarnation)) {
+        return remaining > time_span::zero() ? now + remaining : monotonic_time{};
+    }
+    if (restored) {
+        // The record may be older than the known one, or newer if the endpoint has written it again since.
+        return remaining == known.entry.warmupRemaining ? known.coldUntil : std::max(known.coldUntil, now + remaining);
+    }
+    // The remaining time counts from the first reading of the record.
+    const bool staysWarm = remaining <= time_span::zero() && known.coldUntil <= now;
+    return known.offset == record.offset || staysWarm ? known.coldUntil : now + remaining;
+}
+
+bool endpoint_directory::insertOrUpdate(const directory_record &record, bool restored, monotonic_time now)
 {
     endpoint_entry entry = *record.entry;
     const auto leaving = leavingSince(entry.incarnation);
@@ -130,9 +150,11 @@
     const auto [position, inserted] = m_endpoints.try_emplace(record.id);
     listed_endpoint &known = position->second;
     const bool sameState = !inserted && known.entry.incarnation == entry.incarnation && known.entry.draining == entry.draining;
-    const bool unchanged = sameState && known.entry.incarnation.address == entry.incarnation.address && known.entry.service == entry.service
+    const monotonic_time cold = coldUntil(known, record, restored, now);
+    const bool unchanged = sameState && known.coldUntil == cold && known.entry.incarnation.address == entry.incarnation.address && known.entry.service == entry.service
         && known.entry.zone == entry.zone && known.entry.workerSlots == entry.workerSlots && !known.missingUntil;
     known.entry = entry;
+    known.coldUntil = cold;
     known.offset = record.offset;
     known.missingUntil.reset();
     if (!sameState) {
--- a/libs/directory/endpoint_directory.h
+++ b/libs/directory/endpoint_directory.h
@@ -15,7 +15,10 @@
     log_offset offset;
     /** Time at which the current state (ready or draining) of this incarnation was first seen. */
     monotonic_time stateSince{};
-    /** End of the time in which the endpoint is cold: slow, and lost if it gets more requests than its service's cold request rate. */
+    /**
+     * End of the time in which the endpoint is cold: slow, and lost if it gets more requests than its service's cold request rate. Counted from
+     * when the record that states the remaining time was first read; in the past if the endpoint is warm.
+     */
     monotonic_time coldUntil{};
     /** Set while the operator evacuates the endpoint's zone: the time since which this is known. Nothing new may be sent to it. */
     std::optional<monotonic_time> evacuatedSince;
@@ -83,7 +86,11 @@
     const std::map<endpoint_id, listed_endpoint> &endpoints() const noexcept;
 
 private:
-    bool insertOrUpdate(const directory_record &record, monotonic_time now);
+    /** @param restored  the record was read from an older copy of the source */
+    bool applyRecord(const directory_record &record, bool restored, monotonic_time now);
+    bool insertOrUpdate(const directory_record &record, bool restored, monotonic_time now);
+    /** Returns listed_endpoint::coldUntil of the endpoint @p known after @p record. */
+    static monotonic_time coldUntil(const listed_endpoint &known, const directory_record &record, bool restored, monotonic_time now);
     bool remove(const endpoint_id &id, monotonic_time now);
     void erase(const endpoint_id &id, monotonic_time now);
     /** Prepares for records whose offsets are not comparable with those of before. */
