Limit the requests to cold endpoints

Cold endpoints got 16 to 18 requests in a second, where 15.9 are allowed, and crashed: nothing read the cold request rate of a service.

endpoint_limiter has a second limit, cold_request_limit, that paces requests at the cold request rate until coldUntil, in the role of the coordinator. It counts the requests of the last second, so that there is no burst when an endpoint becomes cold; where others may have sent some without permits, nothing is sent in the first second. Small sites request permits for cold endpoints. The rate reaches the gateway with its routes, the coordinator by setServices() and the assigner by setColdRequestRate(), also when the configuration changes it. For the assigner, a cold endpoint has the capacity of its rate, and receives no keys to balance load.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -348,7 +348,9 @@
         metrics.counter("sycamoretray_endpoints_leaving_total{source=\"" + std::string(source) + "\"}").add();
     };
     observer.routesChanged = [this] {
+        permits.setServices(feeds.routes()->services());
         router.setRoutes(feeds.routes(), steadyNow());
+        armGatewayTimer();
         ownership.directoryChanged();
     };
     observer.relaysChanged = [this] {
--- a/apps/sycamoretrayd/gateway/ownership_runner.cpp
+++ b/apps/sycamoretrayd/gateway/ownership_runner.cpp
@@ -471,7 +471,9 @@
         const monotonic_time now = steadyNow();
         for (const auto &[service, definition] : environment.feeds.routes()->services()) {
             if (definition.dividedByKey) {
-                assignerOf(service, now).setEndpoints(endpointsOf(service), now);
+                key_assigner &assigner = assignerOf(service, now);
+                assigner.setColdRequestRate(definition.coldRequestRate, now);
+                assigner.setEndpoints(endpointsOf(service), now);
             }
         }
         performActions();
--- a/apps/sycamoretrayd/gateway/permit_service.cpp
+++ b/apps/sycamoretrayd/gateway/permit_service.cpp
@@ -125,6 +125,7 @@
 void permit_service::setCandidates(const coordinator_candidates &candidates)
 {
     d->client.setCandidates(candidates);
+    d->coordinator.setLargeSite(isLargeSite(candidates), steadyNow());
 }
 
 void permit_service::setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints)
@@ -133,6 +134,12 @@
     d->armTimer();
 }
 
+void permit_service::setServices(const std::map<service_id, service_definition> &services)
+{
+    d->coordinator.setServices(services, steadyNow());
+    d->armTimer();
+}
+
 void permit_service::resign()
 {
     d->coordinator.resign();
--- a/apps/sycamoretrayd/gateway/permit_service.h
+++ b/apps/sycamoretrayd/gateway/permit_service.h
@@ -37,6 +37,7 @@
 
     void setCandidates(const coordinator_candidates &candidates);
     void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints);
+    void setServices(const std::map<service_id, service_definition> &services);
 
     /** Hands the queues of this instance over to other coordinators, because the instance stops. */
     void resign();
--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -60,6 +60,8 @@
     bool chooseZone(const unanswered_request &pending, permit_request &permitRequest);
     /** Sets what is known of the request limits of the endpoints of the queue. */
     void setRequestLimit(permit_request &permitRequest, const detail::queue_id &queueId, monotonic_time now);
+    /** Limits the endpoints that are cold. The requests that are queued here for one that was not limited before need permits from now on. */
+    void limitColdEndpoints(monotonic_time now);
     bool mayAskOtherZone(const unanswered_request &pending);
     /** Ends the wait for @p permit and returns its request, or nullptr if none waits for it. */
     unanswered_request *takeAwaitingPermit(permit_id permit);
--- a/libs/gateway/endpoint_limiter.cpp
+++ b/libs/gateway/endpoint_limiter.cpp
@@ -41,7 +41,7 @@
 endpoint_limiter::endpoint_limiter(const listed_endpoint &endpoint, sender_mode use)
     : m_use(use)
 {
-    m_requestLimit.setRole(use == sender_mode::sole_sender ? limit_role::first_coordinator : limit_role::single_instance);
+    setLimitRole(use == sender_mode::sole_sender ? limit_role::first_coordinator : limit_role::single_instance);
     update(endpoint);
 }
 
@@ -49,7 +49,18 @@
 {
     m_entry = endpoint.entry;
     m_listed = true;
-    m_coldUntil = endpoint.stateSince + endpoint.entry.warmupRemaining;
+    m_coldUntil = endpoint.coldUntil;
+    m_coldSinceStart = endpoint.coldUntil == endpoint.stateSince + endpoint.entry.warmupRemaining;
+}
+
+void endpoint_limiter::limitWhileCold(std::optional<request_rate> rate, monotonic_time now)
+{
+    m_coldLimit.update(rate, m_coldUntil, m_coldSinceStart, now);
+}
+
+void endpoint_limiter::setCountsAllRequests(bool countsAll)
+{
+    m_coldLimit.setSoleSender(countsAll);
 }
 
 bool endpoint_limiter::isListed() const noexcept
@@ -89,7 +100,7 @@
 
 monotonic_time endpoint_limiter::blockedUntil() const noexcept
 {
-    return std::max({ m_blockedUntil, m_pausedUntil, m_requestLimit.nextRequestAt() });
+    return std::max({ m_blockedUntil, m_pausedUntil, m_requestLimit.nextRequestAt(), m_coldLimit.nextRequestAt() });
 }
 
 monotonic_time endpoint_limiter::pausedUntil() const noexcept
@@ -117,19 +128,28 @@
     m_requestLimit.recordKnown(known, now);
 }
 
-std::optional<request_rate> endpoint_limiter::usableRate() const noexcept
+std::optional<request_rate> endpoint_limiter::usableRate(monotonic_time now) const noexcept
+{
+    const auto named = m_requestLimit.usableRate();
+    const auto cold = m_coldLimit.usableRate(now);
+    return named && cold ? std::min(named, cold) : (cold ? cold : named);
+}
+
+bool endpoint_limiter::isLimitedWhileCold(monotonic_time now) const noexcept
 {
-    return m_requestLimit.usableRate();
+    return m_coldLimit.applies(now);
 }
 
 void endpoint_limiter::setLimitRole(limit_role role)
 {
     m_requestLimit.setRole(role);
+    m_coldLimit.setRole(role);
 }
 
 void endpoint_limiter::setInstances(std::uint32_t instances)
 {
     m_requestLimit.setInstances(instances);
+    m_coldLimit.setInstances(instances);
 }
 
 bool endpoint_limiter::hasFreshReport(monotonic_time now) const noexcept
@@ -193,6 +213,7 @@
 void endpoint_limiter::sent(monotonic_time now)
 {
     m_requestLimit.recordSent(now);
+    m_coldLimit.recordSent(now);
     ++m_inFlight;
     ++m_inFlightChangeSinceReport;
 }
--- a/libs/gateway/endpoint_limiter.h
+++ b/libs/gateway/endpoint_limiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/endpoint_directory.h"
+#include "gateway/cold_request_limit.h"
 #include "gateway/endpoint_request_limit.h"
 #include "gateway/gateway_request.h"
 
@@ -34,6 +35,15 @@
 
     void update(const listed_endpoint &endpoint);
 
+    /**
+     * Sets the rate to which requests are limited while the endpoint is cold; nothing if its service states none. Call it after each update() and
+     * with each change of the rate.
+     */
+    void limitWhileCold(std::optional<request_rate> rate, monotonic_time now);
+
+    /** Sets whether all requests to the endpoint pass this limiter, also those of instances that need no permits; false by default. */
+    void setCountsAllRequests(bool countsAll);
+
     /** False after the endpoint's entry was removed. */
     bool isListed() const noexcept;
     void unlist();
@@ -63,10 +73,13 @@
     /** Records what another instance knows of the request limit. */
     void recordKnownLimit(const known_request_limit &known, monotonic_time now);
 
-    /** Requests a second that may be sent from here; nothing if the endpoint names no limit. */
-    std::optional<request_rate> usableRate() const noexcept;
+    /** Requests a second that may be sent from here; nothing if the endpoint names no limit and is not limited because it is cold. */
+    std::optional<request_rate> usableRate(monotonic_time now) const noexcept;
+
+    /** Returns whether requests are limited at present because the endpoint is cold. */
+    bool isLimitedWhileCold(monotonic_time now) const noexcept;
 
-    /** Sets in which role the request limit is used; by default first_coordinator for a sole sender, otherwise single_instance. */
+    /** Sets in which role the limits are used; by default first_coordinator for a sole sender, otherwise single_instance. */
     void setLimitRole(limit_role role);
 
     /** Sets the number of instances that may send to the endpoint without coordination. */
@@ -117,8 +130,11 @@
     sender_mode m_use;
     endpoint_entry m_entry;
     monotonic_time m_coldUntil{};
+    /** The endpoint is cold since it started, not because it became cold later. */
+    bool m_coldSinceStart = false;
     bool m_listed = true;
     endpoint_request_limit m_requestLimit;
+    cold_request_limit m_coldLimit;
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_consecutiveFailures = 0;
     /** Consecutive requests that the endpoint refused because it was full. */
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -291,14 +291,16 @@
     d->setInstances(std::max(d->instances, count));
 }
 
-void gateway::setRoutes(std::shared_ptr<const request_routes> routes, monotonic_time /*now*/)
+void gateway::setRoutes(std::shared_ptr<const request_routes> routes, monotonic_time now)
 {
     d->routes = std::move(routes);
+    d->limitColdEndpoints(now);
 }
 
 void gateway::setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now)
 {
     d->updateEndpoints(endpoints);
+    d->limitColdEndpoints(now);
     d->rescheduleWaiting(now);
 }
 
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -57,13 +57,30 @@
 {
     for (const detail::tracked_endpoint *tracked : endpointsOf(queueId)) {
         const auto known = tracked->limiter.knownRequestLimit(now);
-        permitRequest.limited = permitRequest.limited || known;
+        permitRequest.limited = permitRequest.limited || known || tracked->limiter.isLimitedWhileCold(now);
         if (permitRequest.owner) {
             permitRequest.ownerLimit = known;
         }
     }
 }
 
+void gateway::impl::limitColdEndpoints(monotonic_time now)
+{
+    std::set<detail::queue_id> newlyLimited;
+    for (auto &[incarnation, tracked] : trackedEndpoints) {
+        const service_id &service = tracked.limiter.entry().service;
+        const service_definition *definition = routes ? routes->service(service) : nullptr;
+        const bool before = tracked.limiter.isLimitedWhileCold(now);
+        tracked.limiter.limitWhileCold(definition == nullptr ? std::nullopt : definition->coldRequestRate, now);
+        if (!before && tracked.limiter.isLimitedWhileCold(now)) {
+            newlyLimited.insert({ detail::queue_id(incarnation), detail::queue_id(service) });
+        }
+    }
+    for (const detail::queue_id &each : newlyLimited) {
+        rescheduleQueue(each, now);
+    }
+}
+
 time_span gateway::impl::answerTimeLimit(const unanswered_request &pending, double targetFactor, monotonic_time now)
 {
     const auto target = std::chrono::duration_cast<time_span>(pending.route.latencyTarget * targetFactor);
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -57,7 +57,7 @@
         unblockedAt = std::min(unblockedAt, tracked->limiter.blockedUntil());
         const time_span each = tracked->limiter.expectedTime(runTimes.of(pending.route), now);
         const double perSecond = 1 / std::max(0.000001, std::chrono::duration<double>(each).count());
-        const auto usable = tracked->limiter.usableRate();
+        const auto usable = tracked->limiter.usableRate(now);
         rate += usable ? std::min(perSecond, usable->value()) : perSecond;
     }
     if (anyCapacity || rate <= 0) {
--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -74,6 +74,8 @@
     monotonic_time nextWrite{};
     std::vector<assignment> assignments;
     std::vector<listed_endpoint> endpoints;
+    /** Requests a second that a cold endpoint takes. */
+    std::optional<request_rate> coldRequestRate;
     std::map<network_address, endpoint_incarnation> newestAtAddress;
     std::map<endpoint_id, endpoint_incarnation> newestById;
     monotonic_time lastEndpointAddedAt{};
@@ -132,8 +134,8 @@
     void reassign(assignment &subject, const endpoint_incarnation &owner, std::string_view reason, monotonic_time now);
     void settle(assignment &subject, monotonic_time now);
     bool mayAssign(monotonic_time now) const;
-    /** Slowness of an endpoint for the planner, with failures and the request limit counted in. */
-    double plannedSlowness(const endpoint_id &endpoint, double slots) const;
+    /** Slowness of an endpoint for the planner, with failures, the request limit and the cold request rate counted in. */
+    double plannedSlowness(const listed_endpoint &endpoint, double slots, monotonic_time now) const;
     plan_input planInput(monotonic_time now) const;
     void plan(monotonic_time now);
     /** Reserves tokens for grants to the owner of an assignment. */
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -280,6 +280,14 @@
     d->nextPlan = now;
 }
 
+void key_assigner::setColdRequestRate(std::optional<request_rate> rate, monotonic_time now)
+{
+    if (d->coldRequestRate != rate) {
+        d->coldRequestRate = rate;
+        d->nextPlan = now;
+    }
+}
+
 void key_assigner::addLoad(const load_report &report, monotonic_time now)
 {
     d->load.add(report, now);
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -94,6 +94,9 @@
     /** Replaces the list of endpoints of the service. */
     void setEndpoints(std::vector<listed_endpoint> endpoints, monotonic_time now);
 
+    /** Sets the requests a second that a cold endpoint of the service takes; nothing if they are not limited. */
+    void setColdRequestRate(std::optional<request_rate> rate, monotonic_time now);
+
     void addLoad(const load_report &report, monotonic_time now);
 
     /**
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -124,11 +124,15 @@
     return anyOwner || now - lastEndpointAddedAt >= settings.initialAssignmentDelay;
 }
 
-double key_assigner::impl::plannedSlowness(const endpoint_id &endpoint, double slots) const
+double key_assigner::impl::plannedSlowness(const listed_endpoint &endpoint, double slots, monotonic_time now) const
 {
+    const endpoint_id &id = endpoint.entry.incarnation.endpoint;
     // Failed requests are retried, so failures reduce the useful work of an endpoint accordingly.
-    const double slowness = load.slowness(endpoint) / (1 - load.failureShare(endpoint) * 0.9);
-    const auto limit = load.requestLimit(endpoint);
+    const double slowness = load.slowness(id) / (1 - load.failureShare(id) * 0.9);
+    auto limit = load.requestLimit(id);
+    if (coldRequestRate && now < endpoint.coldUntil) {
+        limit = limit ? std::min(*limit, *coldRequestRate) : *coldRequestRate;
+    }
     const double meanWork = load.meanWork();
     if (!limit || meanWork <= 0) {
         return slowness;
@@ -144,11 +148,10 @@
     std::map<endpoint_incarnation, std::size_t> indexes;
     for (const listed_endpoint &endpoint : endpoints) {
         if (isUsable(endpoint)) {
-            const endpoint_id &id = endpoint.entry.incarnation.endpoint;
             indexes[endpoint.entry.incarnation] = input.incarnations.size();
             input.incarnations.push_back(endpoint.entry.incarnation);
             const double slots = std::max(1U, endpoint.entry.workerSlots);
-            input.endpoints.push_back({ slots, plannedSlowness(id, slots), now < endpoint.stateSince + endpoint.entry.warmupRemaining });
+            input.endpoints.push_back({ slots, plannedSlowness(endpoint, slots, now), now < endpoint.coldUntil });
         }
     }
     for (const assignment &each : assignments) {
--- a/libs/key_ownership/range_planner.cpp
+++ b/libs/key_ownership/range_planner.cpp
@@ -149,7 +149,7 @@
                 donor = i;
             }
         }
-        if (!donor || *donor == recipient || !isMoveWorthwhile(*donor, recipient)) {
+        if (!donor || *donor == recipient || m_endpoints[recipient].cold || !isMoveWorthwhile(*donor, recipient)) {
             break;
         }
         const double difference = utilization(*donor) - utilization(recipient);
--- a/libs/key_ownership/range_planner.h
+++ b/libs/key_ownership/range_planner.h
@@ -14,7 +14,7 @@
     double workerSlots = 1;
     /** Ratio of its measured to the typical run time. */
     double slowness = 1;
-    /** Still slow after its start: keeps its keys, and receives no more to balance load. */
+    /** Still slow after its start: receives no keys to balance load, and gives away those that are beyond its capacity. */
     bool cold = false;
 };
 
--- a/libs/permits/permit_coordinator.cpp
+++ b/libs/permits/permit_coordinator.cpp
@@ -34,7 +34,7 @@
     m_endpoints = endpoints;
     std::vector<permit_pool_name> names;
     for (auto &[name, pool] : m_pools) {
-        updateEndpoints(name, pool);
+        updateEndpoints(name, pool, now);
         names.push_back(name);
     }
     for (const permit_pool_name &name : names) {
@@ -43,6 +43,22 @@
     removeExpired();
 }
 
+void permit_coordinator::setServices(const std::map<service_id, service_definition> &services, monotonic_time now)
+{
+    m_services = services;
+    for (auto &[name, pool] : m_pools) {
+        limitWhileCold(name, pool, now);
+    }
+}
+
+void permit_coordinator::setLargeSite(bool large, monotonic_time now)
+{
+    m_largeSite = large;
+    for (auto &[name, pool] : m_pools) {
+        limitWhileCold(name, pool, now);
+    }
+}
+
 void permit_coordinator::removeExpired()
 {
     std::erase_if(m_holders, [&](const auto &item) {
@@ -53,7 +69,7 @@
     });
 }
 
-void permit_coordinator::updateEndpoints(const permit_pool_name &name, permit_pool &pool) const
+void permit_coordinator::updateEndpoints(const permit_pool_name &name, permit_pool &pool, monotonic_time now) const
 {
     std::vector<listed_endpoint> members;
     for (const auto &[id, endpoint] : m_endpoints) {
@@ -63,14 +79,21 @@
         }
     }
     pool.setEndpoints(name.owner ? members : usableForNewWork(members));
+    limitWhileCold(name, pool, now);
+}
+
+void permit_coordinator::limitWhileCold(const permit_pool_name &name, permit_pool &pool, monotonic_time now) const
+{
+    const auto service = m_services.find(name.service);
+    pool.limitWhileCold(service == m_services.end() ? std::nullopt : service->second.coldRequestRate, m_largeSite, now);
 }
 
-permit_pool *permit_coordinator::findOrCreatePool(const permit_pool_name &name)
+permit_pool *permit_coordinator::findOrCreatePool(const permit_pool_name &name, monotonic_time now)
 {
     auto found = m_pools.find(name);
     if (found == m_pools.end()) {
         found = m_pools.try_emplace(name).first;
-        updateEndpoints(name, found->second);
+        updateEndpoints(name, found->second, now);
     }
     return found->second.hasEndpoints() ? &found->second : nullptr;
 }
@@ -101,7 +124,7 @@
         }
         m_holders.erase(known);
     }
-    permit_pool *pool = m_resigned ? nullptr : findOrCreatePool(name);
+    permit_pool *pool = m_resigned ? nullptr : findOrCreatePool(name, now);
     if (pool == nullptr) {
         m_port.send(from, permit_unavailable{ request.id, m_resigned });
         return;
--- a/libs/permits/permit_coordinator.h
+++ b/libs/permits/permit_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/endpoint_directory.h"
+#include "directory/request_routes.h"
 #include "permits/permit_message.h"
 #include "permits/permit_pool.h"
 
@@ -41,6 +42,12 @@
 
     void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now);
 
+    /** Sets the services, whose cold endpoints get no more requests than the services state. */
+    void setServices(const std::map<service_id, service_definition> &services, monotonic_time now);
+
+    /** Sets whether instances request permits for all requests, as those of a large site do; false by default. */
+    void setLargeSite(bool large, monotonic_time now);
+
     /** Handles a message from the instance at @p from. Messages to permit clients are ignored. */
     void received(const network_address &from, const permit_message &message, monotonic_time now);
 
@@ -58,8 +65,9 @@
     void handleRequest(const network_address &from, const permit_request &request, monotonic_time now);
     void handleReturn(const network_address &from, const permit_return &message, monotonic_time now);
     /** Returns the pool, creating it if needed; nullptr if none of its endpoints is known. */
-    permit_pool *findOrCreatePool(const permit_pool_name &name);
-    void updateEndpoints(const permit_pool_name &name, permit_pool &pool) const;
+    permit_pool *findOrCreatePool(const permit_pool_name &name, monotonic_time now);
+    void updateEndpoints(const permit_pool_name &name, permit_pool &pool, monotonic_time now) const;
+    void limitWhileCold(const permit_pool_name &name, permit_pool &pool, monotonic_time now) const;
     void decide(const permit_pool_name &name, monotonic_time now);
     /** Removes expired permits, and pools without endpoints and permits. */
     void removeExpired();
@@ -67,6 +75,8 @@
     permit_port &m_port;
     bool m_resigned = false;
     std::map<endpoint_id, listed_endpoint> m_endpoints;
+    std::map<service_id, service_definition> m_services;
+    bool m_largeSite = false;
     std::map<permit_pool_name, permit_pool> m_pools;
     /** Pool of each permit that is requested or in use. */
     std::map<permit_holder, permit_pool_name> m_holders;
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -61,6 +61,14 @@
     });
 }
 
+void permit_pool::limitWhileCold(std::optional<request_rate> rate, bool countsAll, monotonic_time now)
+{
+    for (auto &[incarnation, endpoint] : m_endpoints) {
+        endpoint.limiter.setCountsAllRequests(countsAll);
+        endpoint.limiter.limitWhileCold(rate, now);
+    }
+}
+
 bool permit_pool::hasEndpoints() const noexcept
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto &item) {
@@ -253,7 +261,7 @@
             const double slots = endpoint.limiter.entry().workerSlots / std::max(minSlowness, each);
             result.lowestSlowness = first ? each : std::min(result.lowestSlowness, each);
             first = false;
-            if (const auto rate = endpoint.limiter.usableRate()) {
+            if (const auto rate = endpoint.limiter.usableRate(now)) {
                 result.limited.push_back({ slots, rate->value() });
                 result.limitedUntil = std::min(result.limitedUntil, endpoint.limiter.blockedUntil());
             } else {
--- a/libs/permits/permit_pool.h
+++ b/libs/permits/permit_pool.h
@@ -49,6 +49,13 @@
     /** Replaces the endpoints, and keeps the state of those that remain. */
     void setEndpoints(const std::vector<listed_endpoint> &endpoints);
 
+    /**
+     * Sets the rate to which requests to each cold endpoint are limited; nothing if the service states none. Call it after each setEndpoints().
+     *
+     * @param countsAll  instances send no requests without a permit
+     */
+    void limitWhileCold(std::optional<request_rate> rate, bool countsAll, monotonic_time now);
+
     /** Returns true if any endpoint is listed. */
     bool hasEndpoints() const noexcept;
 
--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -36,6 +36,8 @@
         std::size_t instance = 0;
     };
     std::optional<request_rate> requestLimit;
+    std::optional<monotonic_time> coldSince;
+    monotonic_time coldUntil{};
     std::vector<arrival> arrivals;
     /** When each instance first received a response that names the limit. */
     std::map<std::size_t, monotonic_time> limitKnownSince;
@@ -182,6 +184,9 @@
     }
     service_definition definition;
     definition.dividedByKey = m_settings.dividedByKey;
+    definition.coldRequestRate = m_coldRate;
+    instance.coordinator.setServices({ { serviceName, definition } }, m_now);
+    instance.coordinator.setLargeSite(m_settings.policy == sending_policy::permits && isLargeSite(m_candidates), m_now);
     instance.router->setRoutes(std::make_shared<const request_routes>(1, routes, std::map<service_id, service_definition>{ { serviceName, definition } }),
                                m_now);
     std::map<endpoint_id, listed_endpoint> listed;
@@ -196,6 +201,7 @@
         each.entry.service = serviceName;
         each.entry.zone = m_endpoints[i]->zone;
         each.entry.workerSlots = m_settings.slots;
+        each.coldUntil = m_endpoints[i]->coldUntil;
         const auto first = static_cast<std::uint32_t>(i * keyCount / m_endpoints.size());
         const auto last = static_cast<std::uint32_t>((i + 1) * keyCount / m_endpoints.size() - 1);
         record.assignments.push_back({ { first, last }, m_endpoints[i]->incarnation, fencing_token(1), {}, fencing_token(), true, {} });
@@ -261,10 +267,76 @@
     return static_cast<double>(most) - (6 * endpoint.requestLimit->value() + 5);
 }
 
+void permit_simulation::setColdRate(std::optional<request_rate> rate)
+{
+    m_coldRate = rate;
+    publishToAll();
+}
+
+void permit_simulation::setCold(std::size_t endpoint, time_span duration)
+{
+    m_endpoints[endpoint]->coldSince = m_now;
+    m_endpoints[endpoint]->coldUntil = m_now + duration;
+    publishToAll();
+}
+
+void permit_simulation::publishToAll()
+{
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        publish(*m_instances[i]);
+        scheduleAdvance(i);
+    }
+}
+
+double permit_simulation::excessOverColdRate(std::size_t index, request_rate rate) const
+{
+    const simulated_endpoint &endpoint = *m_endpoints[index];
+    // Requests that were sent before reach the endpoint after it.
+    const monotonic_time since = endpoint.coldSince.value() + networkDelay;
+    std::deque<monotonic_time> window;
+    std::size_t before = 0;
+    std::size_t most = 0;
+    for (const auto &[at, instance] : endpoint.arrivals) {
+        window.push_back(at);
+        while (window.front() <= at - std::chrono::seconds(1)) {
+            window.pop_front();
+        }
+        if (at <= since) {
+            before = at > since - std::chrono::seconds(1) ? std::max(before, window.size()) : 0;
+        } else if (at < endpoint.coldUntil) {
+            most = std::max(most, window.size());
+        }
+    }
+    return static_cast<double>(most) - std::max(static_cast<double>(before), rate.value() * 1.5 + 8);
+}
+
+std::size_t permit_simulation::arrivalsWhileCold(std::size_t index) const
+{
+    const simulated_endpoint &endpoint = *m_endpoints[index];
+    return static_cast<std::size_t>(std::count_if(endpoint.arrivals.begin(), endpoint.arrivals.end(), [&](const auto &each) {
+        return each.at > endpoint.coldSince.value() + networkDelay && each.at < endpoint.coldUntil;
+    }));
+}
+
+void permit_simulation::hideFromHalf(std::size_t instance)
+{
+    coordinator_candidates others = m_candidates;
+    std::erase_if(others[m_instances[instance]->zone], [&](const auto &each) {
+        return each.address == m_instances[instance]->address;
+    });
+    for (std::size_t i = 0; i < m_instances.size(); i += 2) {
+        m_instances[i]->client.setCandidates(others);
+    }
+}
+
 std::size_t permit_simulation::coordinatorOf(std::size_t endpoint) const
 {
     permit_request request;
-    request.owner = m_endpoints[endpoint]->incarnation;
+    if (m_settings.dividedByKey) {
+        request.owner = m_endpoints[endpoint]->incarnation;
+    }
+    request.service = serviceName;
+    request.zone = m_endpoints[endpoint]->zone;
     return m_addresses.at(rankCoordinators(m_candidates, m_endpoints[endpoint]->zone, permit_pool_name(request).text(), 1).front());
 }
 
--- a/tests/unit/permits/permit_simulation.h
+++ b/tests/unit/permits/permit_simulation.h
@@ -86,6 +86,19 @@
      * allowed, from 3 s after it first named the limit. Requests of instances that learned of the limit less than 0.5 s earlier do not count.
      */
     double excessOverRequestLimit(std::size_t endpoint) const;
+    /** Sets the rate that the service states for cold endpoints, which all instances learn at once. */
+    void setColdRate(std::optional<request_rate> rate);
+    /** The endpoint becomes cold for @p duration, which all instances learn at once. It runs what it gets all the same, as fast as before. */
+    void setCold(std::size_t endpoint, time_span duration);
+    /**
+     * Returns the highest number of requests that reached @p endpoint in a second, of those that ended while it was cold, beyond one and a half
+     * times @p rate and 8. Where more had reached it in the second before it became cold, their number is allowed instead.
+     */
+    double excessOverColdRate(std::size_t endpoint, request_rate rate) const;
+    /** Returns the number of requests that reached the endpoint while it was cold. */
+    std::size_t arrivalsWhileCold(std::size_t endpoint) const;
+    /** Half of the instances believe from now on that @p instance has left, and ask other coordinators. */
+    void hideFromHalf(std::size_t instance);
     std::size_t ownerOf(std::uint16_t key) const;
 
     /** Crashes the instance: its callers are lost, and it no longer responds. */
@@ -94,7 +107,7 @@
     void restart(std::size_t instance);
     /** Starts a planned stop: the waiting requests of the instance are handed over. */
     void resign(std::size_t instance);
-    /** Returns the index of the instance that is the permit coordinator of an endpoint. */
+    /** Returns the index of the instance that is the permit coordinator of an endpoint, or of its zone if the service is not divided by key. */
     std::size_t coordinatorOf(std::size_t endpoint) const;
 
     /** Runs the simulation for @p duration, with requests arriving. */
@@ -132,6 +145,7 @@
     void scheduleAdvance(std::size_t instance);
     void submit();
     void publish(simulated_instance &instance);
+    void publishToAll();
     void requestArrived(std::size_t request, std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint);
     void startNext(std::size_t endpoint);
     void finish(std::size_t endpoint, std::uint64_t run);
@@ -153,6 +167,7 @@
     std::map<network_address, std::size_t> m_addresses;
     std::vector<simulated_request> m_requests;
     coordinator_candidates m_candidates;
+    std::optional<request_rate> m_coldRate;
     std::size_t m_overflowed = 0;
     std::uint64_t m_lastRun = 0;
 };
