Show cold endpoints, and test what the assigner plans for them

Operators could not see which endpoints are cold. The events endpoint_cold and endpoint_warm and the gauge sycamoretray_cold_endpoints tell.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "sycamoretrayd/gateway/gateway_daemon.h"
 
+#include "directory/cold_endpoints.h"
 #include "executor/detail/serial_executor_state.h"
 #include "executor/steady_time.h"
 #include "gateway/gateway.h"
@@ -86,6 +87,7 @@
     request_forwarder forwarder;
     gateway router;
     store_feeds feeds;
+    cold_endpoints coldEndpoints;
     assigner_stop_client stopClient;
     ownership_runner ownership;
     datagram_channel datagrams;
@@ -127,6 +129,7 @@
     void reportCrashes();
     void logStoreCalls();
     void logLimitedEndpointLoads();
+    void logColdEndpoints();
     std::string dump();
     ownership_environment ownershipEnvironment();
     endpoint_observer endpointObserver();
@@ -296,6 +299,9 @@
     metrics.gauge("sycamoretray_limited_endpoints", [this] {
         return static_cast<double>(router.limitedEndpoints());
     });
+    metrics.gauge("sycamoretray_cold_endpoints", [this] {
+        return static_cast<double>(coldEndpoints.count());
+    });
     metrics.gauge("sycamoretray_crash_suspects", [this] {
         return static_cast<double>(router.crashSuspects());
     });
@@ -342,6 +348,7 @@
         isolation.setEndpoints(feeds.directory().endpoints());
         router.setEndpoints(feeds.directory().endpoints(), steadyNow());
         ownership.directoryChanged();
+        logColdEndpoints();
         armGatewayTimer();
     };
     observer.endpointLeaves = [this](std::string_view source) {
@@ -533,6 +540,7 @@
 {
     const monotonic_time now = steadyNow();
     feeds.expireEndpoints(now);
+    logColdEndpoints();
     instancePublisher.update(!stopping && ownership.isCurrentRelay(false) && feeds.isComplete(), feeds.instances(), now);
     endpoints.closeUnused(now);
     forwarder.closeUnused(now);
@@ -547,6 +555,18 @@
     armGatewayTimer();
 }
 
+void gateway_daemon::impl::logColdEndpoints()
+{
+    for (const cold_endpoint_change &each : coldEndpoints.update(feeds.directory().endpoints(), steadyNow())) {
+        if (each.remaining > time_span::zero()) {
+            const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(each.remaining);
+            logEvent("endpoint_cold", { { "endpoint", each.endpoint.value() }, { "ms", std::to_string(remaining.count()) } });
+        } else {
+            logEvent("endpoint_warm", { { "endpoint", each.endpoint.value() } });
+        }
+    }
+}
+
 void gateway_daemon::impl::reportLoad()
 {
     std::vector<load_report> reports = router.takeLoadReports();
--- a/tests/unit/directory/endpoint_directory_test.cpp
+++ b/tests/unit/directory/endpoint_directory_test.cpp
@@ -1,3 +1,4 @@
+#include "directory/cold_endpoints.h"
 #include "directory/endpoint_directory.h"
 
 #include <criterion/criterion.h>
@@ -260,3 +261,27 @@
     cr_expect(directory.applyListing({ coldRecord("a", 3, 4s) }, store_era(2), log_offset(4), start + 1s));
     cr_expect(coldUntil(directory) == start + 5s);
 }
+
+// Guards against endpoints that are shown as cold after their cold time or their removal, and against events that are repeated.
+Test(cold_endpoints, tells_each_change_once)
+{
+    using namespace std::chrono_literals;
+    endpoint_directory directory(gracePeriod);
+    cold_endpoints cold;
+    directory.apply(coldRecord("a", 1, 4s), start);
+    directory.apply(coldRecord("b", 2, 4s), start);
+    directory.apply(coldRecord("warm", 3, 0s), start);
+    const auto became = cold.update(directory.endpoints(), start + 1s);
+    cr_assert_eq(became.size(), 2U);
+    cr_expect(became[0].endpoint == endpoint_id("a"));
+    cr_expect(became[0].remaining == 3s);
+    cr_expect(cold.update(directory.endpoints(), start + 2s).empty());
+    cr_expect_eq(cold.count(), 2U);
+    directory.apply(removal("b", 4), start + 3s);
+    cr_expect(cold.update(directory.endpoints(), start + 3s).empty());
+    const auto warm = cold.update(directory.endpoints(), start + 4s);
+    cr_assert_eq(warm.size(), 1U);
+    cr_expect(warm[0].endpoint == endpoint_id("a"));
+    cr_expect(warm[0].remaining == 0s);
+    cr_expect_eq(cold.count(), 0U);
+}
--- a/tests/unit/key_ownership/limited_endpoint_test.cpp
+++ b/tests/unit/key_ownership/limited_endpoint_test.cpp
@@ -25,15 +25,28 @@
 public:
     assigner_driver()
         : m_assigner(service, {})
+        , m_endpoints(endpointCount)
     {
         m_assigner.start(std::nullopt, 1, network_address("10.0.0.1:1"), {}, m_now);
-        std::vector<listed_endpoint> endpoints(endpointCount);
         for (std::size_t i = 0; i < endpointCount; ++i) {
-            endpoints[i].entry.incarnation = { nameOf(i), 1, network_address("10.0.1." + std::to_string(i) + ":1") };
-            endpoints[i].entry.service = service;
-            endpoints[i].entry.workerSlots = 3;
+            m_endpoints[i].entry.incarnation = { nameOf(i), 1, network_address("10.0.1." + std::to_string(i) + ":1") };
+            m_endpoints[i].entry.service = service;
+            m_endpoints[i].entry.workerSlots = 3;
         }
-        m_assigner.setEndpoints(endpoints, m_now);
+        m_assigner.setEndpoints(m_endpoints, m_now);
+    }
+
+    void setColdRequestRate(std::optional<request_rate> rate)
+    {
+        m_assigner.setColdRequestRate(rate, m_now);
+    }
+
+    /** The endpoint becomes cold, after a restart if @p restarted. */
+    void setCold(std::size_t endpoint, time_span duration, bool restarted = false)
+    {
+        m_endpoints[endpoint].coldUntil = m_now + duration;
+        m_endpoints[endpoint].entry.incarnation.startedAtMs += restarted ? 1 : 0;
+        m_assigner.setEndpoints(m_endpoints, m_now);
     }
 
     /** Runs for @p duration with 60 requests a second of 50 ms spread over all keys. */
@@ -97,6 +110,7 @@
     }
 
     key_assigner m_assigner;
+    std::vector<listed_endpoint> m_endpoints;
     monotonic_time m_now{ 100s };
     std::uint32_t m_drawn = 0;
 };
@@ -125,3 +139,48 @@
     cr_expect(driver.share(3) < 0.2, "%.2f of the keys", driver.share(3));
     cr_expect(driver.share(0) + driver.share(1) + driver.share(2) > limited + 0.2, "%.2f of the keys before", limited);
 }
+
+// Guards against keys that stay with an endpoint that became cold without a restart, while its rate refuses most of their requests; and against one
+// that gets no keys again after it has become warm.
+Test(cold_endpoint, gives_keys_to_warm_endpoints_until_it_is_warm)
+{
+    assigner_driver driver;
+    driver.setColdRequestRate(request_rate(4));
+    driver.run(8s, {});
+    cr_assert(driver.share(0) > 0.2, "%.2f of the keys before", driver.share(0));
+    driver.setCold(0, 12s);
+    driver.run(12s, {});
+    const double cold = driver.share(0);
+    // A quarter of the keys brings 15 requests a second.
+    cr_expect(cold < 0.15, "%.2f of the keys", cold);
+    driver.run(12s, {});
+    cr_expect(driver.share(0) > cold + 0.05, "%.2f of the keys afterwards", driver.share(0));
+}
+
+// Guards against keys that are assigned to an endpoint that has just started and is cold, when warm ones could take them.
+Test(cold_endpoint, gets_no_keys_after_a_restart)
+{
+    assigner_driver driver;
+    driver.setColdRequestRate(request_rate(4));
+    driver.run(8s, {});
+    driver.setCold(0, 6s, true);
+    driver.run(5s, {});
+    cr_expect(driver.share(0) == 0, "%.2f of the keys", driver.share(0));
+    driver.run(8s, {});
+    cr_expect(driver.share(0) > 0.1, "%.2f of the keys afterwards", driver.share(0));
+}
+
+// Guards against moves among endpoints that are all cold, which slow the moved keys and relieve nobody for long.
+Test(cold_endpoint, cold_endpoints_give_each_other_no_keys)
+{
+    assigner_driver driver;
+    driver.setColdRequestRate(request_rate(30));
+    driver.run(8s, {});
+    const double before = driver.share(3);
+    for (std::size_t i = 0; i < endpointCount; ++i) {
+        driver.setCold(i, 6s);
+    }
+    // The limits would move keys to endpoint 3.
+    driver.run(5s, { { 0, request_rate(4) }, { 1, request_rate(4) }, { 2, request_rate(4) } });
+    cr_expect(driver.share(3) == before, "%.2f instead of %.2f of the keys", driver.share(3), before);
+}
