--- a/libs/directory/endpoint_directory.cpp
+++ b/libs/directory/endpoint_directory.cpp
@@ -151,8 +151,8 @@
     listed_endpoint &known = position->second;
     const bool sameState = !inserted && known.entry.incarnation == entry.incarnation && known.entry.draining == entry.draining;
     const monotonic_time cold = coldUntil(known, record, restored, now);
-    const bool unchanged = sameState && known.coldUntil == cold && known.entry.incarnation.address == entry.incarnation.address && known.entry.service == entry.service
-        && known.entry.zone == entry.zone && known.entry.workerSlots == entry.workerSlots && !known.missingUntil;
+    const bool unchanged = sameState && known.coldUntil == cold && known.entry.incarnation.address == entry.incarnation.address
+        && known.entry.service == entry.service && known.entry.zone == entry.zone && known.entry.workerSlots == entry.workerSlots && !known.missingUntil;
     known.entry = entry;
     known.coldUntil = cold;
     known.offset = record.offset;
--- a/tests/unit/permits/cold_endpoint_test.cpp
+++ b/tests/unit/permits/cold_endpoint_test.cpp
@@ -192,11 +192,11 @@
             simulation.runArrivals(6s);
             expectWithinColdRate(simulation, 0);
             const std::size_t limited = simulation.arrivalsWhileCold(0);
-            cr_expect(limited <= 6 * 7, "%zu requests in 6 s", limited);
+            cr_expect(limited <= 42, "%zu requests in 6 s", limited);
             simulation.setColdRate(std::nullopt);
             simulation.setCold(0, 4s);
             simulation.runArrivals(4s);
-            cr_expect(simulation.arrivalsWhileCold(0) > 4 * 10, "%zu requests in 4 s without a rate", simulation.arrivalsWhileCold(0));
+            cr_expect(simulation.arrivalsWhileCold(0) > 40, "%zu requests in 4 s without a rate", simulation.arrivalsWhileCold(0));
         }
     }
 }
--- a/tests/unit/platform/configuration_codec_test.cpp
+++ b/tests/unit/platform/configuration_codec_test.cpp
@@ -82,7 +82,8 @@
         cr_expect_not(routes->service(service_id("s"))->coldRequestRate.has_value(), "%s", members);
         cr_expect(routes->service(service_id("s"))->coldTime == time_span::zero(), "%s", members);
     }
-    for (const char *members : { R"(,"ColdPerS":-1)", R"(,"ColdPerS":"5")", R"(,"ColdPerS":[5])", R"(,"ColdStartS":-1)", R"(,"ColdStartS":1e30)", R"(,"ColdStartS":"x")" }) {
+    for (const char *members :
+         { R"(,"ColdPerS":-1)", R"(,"ColdPerS":"5")", R"(,"ColdPerS":[5])", R"(,"ColdStartS":-1)", R"(,"ColdStartS":1e30)", R"(,"ColdStartS":"x")" }) {
         std::string problem;
         cr_expect(decodeCold(members, problem) == nullptr, "%s", members);
         cr_expect_not(problem.empty(), "%s", members);
