--- a/tests/unit/platform/configuration_codec_test.cpp
+++ b/tests/unit/platform/configuration_codec_test.cpp
@@ -48,3 +48,25 @@
     cr_expect(platform::decodeConfiguration(text, problem) == nullptr);
     cr_expect(problem.find("TimeoutMs") != std::string::npos);
 }
+
+// Guards against a service that is refused all requests, because its configuration states no cold request rate or one that cannot be kept, and
+// against times beyond what can be represented.
+Test(configuration_codec, reads_the_cold_request_rate)
+{
+    const auto decode = [](const std::string &members) {
+        std::string problem;
+        return platform::decodeConfiguration(R"({"Version":1,"Routes":[],"Services":[{"Name":"s","Sharded":false)" + members + "}]}", problem);
+    };
+    const auto stated = decode(R"(,"ColdPerS":5.3,"ColdStartS":2.5)");
+    cr_assert(stated != nullptr);
+    cr_expect(stated->service(service_id("s"))->coldRequestRate == request_rate(5.3));
+    cr_expect(stated->service(service_id("s"))->coldTime == std::chrono::milliseconds(2500));
+    for (const char *members : { "", R"(,"ColdPerS":null,"ColdStartS":null)", R"(,"ColdPerS":0,"ColdStartS":0)", R"(,"ColdPerS":1e12)" }) {
+        const auto routes = decode(members);
+        cr_assert(routes != nullptr, "%s", members);
+        cr_expect_not(routes->service(service_id("s"))->coldRequestRate.has_value(), "%s", members);
+    }
+    for (const char *members : { R"(,"ColdPerS":-1)", R"(,"ColdPerS":"5")", R"(,"ColdStartS":-1)", R"(,"ColdStartS":1e30)" }) {
+        cr_expect(decode(members) == nullptr, "%s", members);
+    }
+}
