--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -147,6 +147,9 @@
     drawPriority = [](std::mt19937_64 & /*random*/) {
         return 0U;
     };
+    for (std::uint32_t priority = 0; settings.kinds.empty() && priority < 3; ++priority) {
+        m_settings.kinds.push_back({ priority, settings.latencyTarget, settings.timeout });
+    }
     for (std::size_t i = 0; i < settings.endpoints; ++i) {
         auto endpoint = std::make_unique<simulated_endpoint>();
         endpoint->incarnation = { endpoint_id("e" + std::to_string(i)), 1, network_address("10.1.0." + std::to_string(i) + ":80") };
@@ -169,15 +172,16 @@
 void permit_simulation::publish(simulated_instance &instance)
 {
     std::vector<request_route> routes;
-    for (std::uint32_t priority = 0; priority < 3; ++priority) {
+    for (const simulated_kind &kind : m_settings.kinds) {
         request_route route;
-        route.name = "r" + std::to_string(priority);
+        const std::string number = std::to_string(routes.size());
+        route.name = "r" + number;
         route.host = "h";
-        route.pathPrefix = "/p" + std::to_string(priority) + "/";
+        route.pathPrefix = "/p" + number + "/";
         route.targets = { { serviceName, 1 } };
-        route.timeout = m_settings.timeout;
-        route.latencyTarget = m_settings.latencyTarget;
-        route.priority = priority;
+        route.timeout = kind.timeout;
+        route.latencyTarget = kind.latencyTarget;
+        route.priority = kind.priority;
         routes.push_back(route);
     }
     service_definition definition;
@@ -332,7 +336,24 @@
     });
 }
 
-void permit_simulation::submit()
+simulated_call permit_simulation::drawCall()
+{
+    simulated_call call;
+    call.key = drawKey(m_random);
+    call.kind = drawPriority(m_random);
+    call.work = std::chrono::duration_cast<time_span>(m_settings.work * std::lognormal_distribution<double>(-0.1, 0.45)(m_random));
+    call.body = std::to_string(m_requests.size());
+    return call;
+}
+
+void permit_simulation::submitLater(time_span delay, const simulated_call &call)
+{
+    schedule(m_now + delay, [this, call] {
+        submit(call);
+    });
+}
+
+void permit_simulation::submit(const simulated_call &call)
 {
     std::size_t index = std::uniform_int_distribution<std::size_t>(0, m_instances.size() - 1)(m_random);
     const auto takesRequests = [this](std::size_t instance) {
@@ -343,25 +364,33 @@
     }
     const std::size_t number = m_requests.size();
     simulated_request request;
-    request.key = drawKey(m_random);
-    request.priority = drawPriority(m_random);
+    request.key = call.key;
+    request.priority = call.kind;
     request.instance = index;
     request.arrived = m_now;
-    request.work = std::chrono::duration_cast<time_span>(m_settings.work * std::lognormal_distribution<double>(-0.1, 0.45)(m_random));
+    request.work = call.work;
     m_requests.push_back(request);
+    if (onSubmit) {
+        onSubmit(call);
+    }
     gateway_request message;
     message.id = request_id(std::to_string(number));
     message.host = "h";
-    message.path = "/p" + std::to_string(request.priority) + "/x";
-    message.key = key_number(request.key);
+    message.path = "/p" + std::to_string(call.kind) + "/x";
+    message.key = key_number(call.key);
+    message.timeLeft = call.timeLeft;
+    message.message.body = call.body;
     m_instances[index]->router->submit(
         std::move(message),
-        [this, number](const gateway_answer &answer) {
+        [this, number, call](const gateway_answer &answer) {
             simulated_request &ended = m_requests[number];
             ended.answered = true;
             ended.finished = m_now;
             ended.status = answer.response ? answer.response->status : 0;
             ended.code = answer.code;
+            if (onAnswer) {
+                onAnswer(call, answer);
+            }
         },
         m_now);
     scheduleAdvance(index);
@@ -375,7 +404,7 @@
         const std::chrono::duration<double> gap(std::exponential_distribution<double>(rate)(m_random));
         run(std::min(end, m_now + std::chrono::duration_cast<time_span>(gap)));
         if (m_now < end) {
-            submit();
+            submit(drawCall());
         }
     }
 }
--- a/tests/unit/permits/permit_simulation.h
+++ b/tests/unit/permits/permit_simulation.h
@@ -23,6 +23,24 @@
     permits,
 };
 
+/** Time limits and priority of one kind of request. */
+struct simulated_kind {
+    std::uint32_t priority = 0;
+    time_span latencyTarget{};
+    time_span timeout{};
+};
+
+/** A request as a caller sends it. */
+struct simulated_call {
+    std::uint16_t key = 0;
+    /** Index of the kind. */
+    std::uint32_t kind = 0;
+    time_span work{};
+    /** The same in all tries of a caller's request. */
+    std::string body;
+    std::optional<time_span> timeLeft;
+};
+
 struct simulation_settings {
     std::size_t instances = 60;
     std::size_t endpoints = 60;
@@ -34,6 +52,8 @@
     time_span work = std::chrono::milliseconds(260);
     time_span latencyTarget = std::chrono::milliseconds(800);
     time_span timeout = std::chrono::milliseconds(1500);
+    /** Kinds of requests; if empty, one for each of the priorities 0 to 2 with the latency target and timeout above. */
+    std::vector<simulated_kind> kinds;
     /** Share of the messages between instances that are lost. */
     double lostMessageShare = 0;
     /** Zone whose instances receive all requests; any zone if not set. */
@@ -73,8 +93,15 @@
     std::function<std::uint16_t(std::mt19937_64 &)> drawKey;
     /** Requests per second of all instances together, as a function of the time since the start. */
     std::function<double(time_span)> perSecond;
-    /** Priority of the next request. */
+    /** Priority of the next request, or the index of its kind. */
     std::function<std::uint32_t(std::mt19937_64 &)> drawPriority;
+    /** Called with each request that is sent, if set. */
+    std::function<void(const simulated_call &)> onSubmit;
+    /** Called with each answer, if set. */
+    std::function<void(const simulated_call &, const gateway_answer &)> onAnswer;
+
+    /** Sends a request to a random instance after @p delay. */
+    void submitLater(time_span delay, const simulated_call &call);
 
     void setSlowness(std::size_t endpoint, double slowness);
     /** Sets the share of the requests that the endpoint refuses although it has free worker slots. */
@@ -130,7 +157,8 @@
     void schedule(monotonic_time when, std::function<void()> action);
     void run(monotonic_time end);
     void scheduleAdvance(std::size_t instance);
-    void submit();
+    void submit(const simulated_call &call);
+    simulated_call drawCall();
     void publish(simulated_instance &instance);
     void requestArrived(std::size_t request, std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint);
     void startNext(std::size_t endpoint);
