--- a/libs/permits/permit_client.cpp
+++ b/libs/permits/permit_client.cpp
@@ -72,6 +72,7 @@
     open_permit &permit = m_permits[request.id];
     permit.request = request;
     permit.usefulUntil = now + request.maxAnswerTime;
+    permit.callerWaitsUntil = now + request.callerTimeLeft.value_or(time_span::zero());
     // isUsed() was true at this time, so there is a coordinator.
     std::tie(permit.coordinator, permit.request.role) = coordinatorFor(request).value();
     send(request.id, permit, now);
@@ -100,6 +101,9 @@
         return;
     }
     permit.request.maxAnswerTime = std::max(time_span::zero(), permit.usefulUntil - now);
+    if (permit.request.callerTimeLeft) {
+        permit.request.callerTimeLeft = std::max(time_span::zero(), permit.callerWaitsUntil - now);
+    }
     m_port.send(permit.coordinator, permit_request_message{ permit.request });
 }
 
--- a/libs/permits/permit_client.h
+++ b/libs/permits/permit_client.h
@@ -66,6 +66,8 @@
         permit_state state = permit_state::requested;
         std::uint32_t sends = 0;
         monotonic_time usefulUntil{};
+        /** Not used if the caller is not told of a refusal. */
+        monotonic_time callerWaitsUntil{};
         monotonic_time due{};
         permit_result result;
     };
--- a/tests/unit/gateway/gateway_permit_test.cpp
+++ b/tests/unit/gateway/gateway_permit_test.cpp
@@ -165,3 +165,32 @@
     cr_assert_eq(fixture.source.returned.size(), 2U);
     cr_expect_not(fixture.source.returned[1].second.finished);
 }
+
+// Guards against a place that is promised to a caller that does not learn of the refusal, because another zone is asked next.
+Test(gateway_permits, coordinator_is_told_which_refusal_reaches_the_caller)
+{
+    gateway_fixture fixture;
+    std::map<endpoint_id, listed_endpoint> endpoints;
+    for (const char *zone : { "y", "z" }) {
+        listed_endpoint &endpoint = endpoints[endpoint_id(zone)];
+        endpoint.entry.incarnation = { endpoint_id(zone), 1, network_address("10.0.0.1:80") };
+        endpoint.entry.service = service_id("s");
+        endpoint.entry.zone = availability_zone(zone);
+    }
+    fixture.router.cancel(fixture.request, fixture.now);
+    fixture.source.asked.clear();
+    fixture.router.setEndpoints(endpoints, fixture.now);
+    gateway_request message;
+    message.id = request_id("2");
+    message.host = "h";
+    message.path = "/x";
+    fixture.router.submit(
+        std::move(message), [](const gateway_answer &) {}, fixture.now);
+    for (std::size_t i = 0; i < 3; ++i) {
+        cr_assert_eq(fixture.source.asked.size(), i + 1);
+        const permit_request asked = fixture.source.asked.back();
+        cr_expect(asked.fingerprint && asked.fingerprint == fixture.source.asked.front().fingerprint);
+        cr_expect_eq(asked.callerTimeLeft.has_value(), i == 2);
+        fixture.router.permitRefused(asked.id, 1s, fixture.now);
+    }
+}
--- a/tests/unit/permits/returning_callers.cpp
+++ b/tests/unit/permits/returning_callers.cpp
@@ -20,6 +20,17 @@
     return submitted == 0 ? 1 : static_cast<double>(inTime + late) / static_cast<double>(submitted);
 }
 
+caller_result &caller_result::operator+=(const caller_result &other)
+{
+    submitted += other.submitted;
+    inTime += other.inTime;
+    late += other.late;
+    unserved += other.unserved;
+    refusedAgain += other.refusedAgain;
+    refusals += other.refusals;
+    return *this;
+}
+
 returning_callers::returning_callers(permit_simulation &simulation, std::vector<simulated_kind> kinds, double impatientShare)
     : m_simulation(simulation)
     , m_kinds(std::move(kinds))
--- a/tests/unit/permits/returning_callers.h
+++ b/tests/unit/permits/returning_callers.h
@@ -21,6 +21,7 @@
     std::size_t refusals = 0;
 
     double served() const;
+    caller_result &operator+=(const caller_result &other);
 };
 
 /**
