Describe who is served when there is too little capacity

Comments of two constants name the figures of the final code. A widening multiplication in a test, which lint_units.py reports, is gone.

--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -20,9 +20,9 @@
 // A response shows that the endpoint was reachable at that time; a busy one responds several times in it.
 constexpr time_span responseLifetime = std::chrono::milliseconds(300);
 constexpr time_span maxRetryAfter = std::chrono::seconds(2);
-// A new request is admitted only if its answer is expected before this last part of its useful time. In an overloaded queue, which is ordered by
-// useful time, nearly all answers are late otherwise (33 % with a margin of 0.1, 15 % with 0.2). The few worker slots of an owner of keys are
-// kept busy by a longer queue.
+// A new request is admitted only if its answer is expected before this last part of its useful time. In an overloaded queue of a service, 47 % of
+// all requests are answered late without a margin, and 15 % with this one. The queue of an owner of keys has only a few worker slots, where a margin
+// leaves requests unserved.
 constexpr double newRequestMargin = 0.2;
 // An endpoint that was already tried for a request is used again only if all others are slower by this factor.
 constexpr double triedEndpointPenalty = 5;
--- a/libs/permits/return_promises.cpp
+++ b/libs/permits/return_promises.cpp
@@ -24,7 +24,8 @@
 constexpr time_span expiryCheckInterval = std::chrono::milliseconds(100);
 // Grants are averaged over this time: long enough for some grants of a single endpoint, shorter than a temporary overload.
 constexpr double rateWindowSeconds = 1;
-// Part of the rate that is promised. With 0.5 no more requests are served, and the earliest useful ones wait behind returning ones.
+// Part of the rate that is promised. With 0.5 no more requests are served, and those with the shortest useful time are answered in
+// time less often. Without promises, requests with a long useful time starve in a lasting overload.
 constexpr double promisedShare = 0.25;
 constexpr double forgottenGrants = 0.01;
 
--- a/tests/unit/permits/return_promises_test.cpp
+++ b/tests/unit/permits/return_promises_test.cpp
@@ -269,7 +269,7 @@
     }
     cr_expect(neighbours.served() > 0.95, "%.3f of the neighbours served", neighbours.served());
     // The owner runs 62 requests in 8 s, of which about 37 are for its other keys, and more until the last callers have returned.
-    cr_expect(hot.inTime + hot.late > 3 * 50, "%zu of the hot key served", hot.inTime + hot.late);
+    cr_expect(hot.inTime + hot.late > 150U, "%zu of the hot key served", hot.inTime + hot.late);
 }
 
 // Fails: the coordinators of a third of the queues, between promises and returns. Guards against callers that are left without an answer, and against
