Keep a recent average of the demand for each key

With a half-life of 1.2 s, the average shows half of a load after 1.2 s, and spreading it by this average takes several rounds of a load that lasts 5 s. A second average with a half-life of 0.4 s is kept beside it. Ranges are summed in four independent sums.

--- a/libs/key_ownership/key_load.cpp
+++ b/libs/key_ownership/key_load.cpp
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <numeric>
 
 namespace sycamoretray
 {
@@ -29,6 +29,22 @@
     return std::chrono::duration<double>(span).count();
 }
 
+/** Adds up in four independent sums, because the processor would wait for each addition to a single one. */
+double sumOf(const std::vector<float> &values, key_range keys)
+{
+    std::array<double, 4> sums{};
+    std::uint32_t key = keys.first;
+    for (; key + sums.size() <= keys.last + 1; key += sums.size()) {
+        for (std::uint32_t i = 0; i < sums.size(); ++i) {
+            sums[i] += values[key + i];
+        }
+    }
+    for (; key <= keys.last; ++key) {
+        sums[0] += values[key];
+    }
+    return sums[0] + sums[1] + sums[2] + sums[3];
+}
+
 std::optional<request_rate> decodeLimit(const json &limit)
 {
     return limit.is_null() ? std::nullopt : toRequestRate(limit.get<double>());
@@ -78,6 +94,7 @@
 
 key_load::key_load()
     : m_demand(keyCount)
+    , m_recentDemand(keyCount)
 {
 }
 
@@ -85,6 +102,7 @@
 {
     for (const key_demand &each : report.keys) {
         m_demand[each.key.value()] += static_cast<float>(seconds(each.work) / averagingSeconds);
+        m_recentDemand[each.key.value()] += static_cast<float>(seconds(each.work) / recentAveragingSeconds);
     }
     for (const endpoint_work &each : report.endpoints) {
         endpoint_average &average = m_endpoints[each.endpoint];
@@ -107,10 +125,14 @@
         return;
     }
     const double decay = std::exp2(-seconds(now - *m_lastAdvance) / halfLifeSeconds);
+    const double recentDecay = std::exp2(-seconds(now - *m_lastAdvance) / recentHalfLifeSeconds);
     m_lastAdvance = now;
     for (float &each : m_demand) {
         each *= static_cast<float>(decay);
     }
+    for (float &each : m_recentDemand) {
+        each *= static_cast<float>(recentDecay);
+    }
     for (auto &[id, average] : m_endpoints) {
         average.measured *= decay;
         average.expected *= decay;
@@ -128,7 +150,7 @@
 
 double key_load::demand(key_range keys) const
 {
-    return std::accumulate(m_demand.begin() + keys.first, m_demand.begin() + keys.last + 1, 0.0);
+    return sumOf(m_demand, keys);
 }
 
 double key_load::demand(std::uint32_t key) const
@@ -136,6 +158,11 @@
     return m_demand[key];
 }
 
+double key_load::recentDemand(key_range keys) const
+{
+    return sumOf(m_recentDemand, keys);
+}
+
 double key_load::slowness(const endpoint_id &endpoint) const
 {
     const auto found = m_endpoints.find(endpoint);
--- a/libs/key_ownership/key_load.h
+++ b/libs/key_ownership/key_load.h
@@ -64,6 +64,10 @@
     /** Divide an accumulated value by this to get its rate: a constant rate accumulates to rate * half-life / ln 2. */
     static constexpr double averagingSeconds = halfLifeSeconds / 0.6931;
 
+    /** Half-life of the recent averages, which follow a load that begins or ends within half a second. */
+    static constexpr double recentHalfLifeSeconds = 0.4;
+    static constexpr double recentAveragingSeconds = recentHalfLifeSeconds / 0.6931;
+
     key_load();
 
     void add(const load_report &report, monotonic_time now);
@@ -75,6 +79,12 @@
     double demand(key_range keys) const;
     double demand(std::uint32_t key) const;
 
+    /**
+     * Like demand(), but a recent average. It varies more, because it stands for fewer requests; use it only for differences that their random
+     * number does not explain.
+     */
+    double recentDemand(key_range keys) const;
+
     /** Returns the mean typical run time of a request in seconds; 0 without any reports. */
     double meanWork() const;
 
@@ -100,6 +110,7 @@
     };
 
     std::vector<float> m_demand;
+    std::vector<float> m_recentDemand;
     std::map<endpoint_id, endpoint_average> m_endpoints;
     std::map<instance_id, monotonic_time> m_instances;
     std::optional<monotonic_time> m_lastAdvance;
