--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -93,6 +93,8 @@
     std::set<endpoint_incarnation> terminatedIncarnations;
     std::map<order_id, pending_order> orders;
     std::map<endpoint_incarnation, std::uint32_t> grantsInFlight;
+    /** Keys that were moved to a faster owner in the last fastOwnerInterval, with the time of the move. */
+    std::map<std::uint32_t, monotonic_time> fastOwnerSince;
     key_load load;
     std::vector<assigner_action> actions;
 
@@ -136,6 +138,9 @@
     double plannedSlowness(const endpoint_id &endpoint, double slots) const;
     plan_input planInput(monotonic_time now) const;
     void plan(monotonic_time now);
+    /** Returns how many moves to balance load may start now. */
+    std::size_t balancingMoves(std::size_t usableEndpoints) const;
+    void balance(range_planner &planner, const plan_input &input, monotonic_time now);
     /** Reserves tokens for grants to the owner of an assignment. */
     fencing_token reserveTokens();
     /** Assigns new tokens where the owner has seen a higher token than that of its grant, and where all tokens were used. */
--- a/libs/key_ownership/key_assigner.h
+++ b/libs/key_ownership/key_assigner.h
@@ -35,6 +35,8 @@
     /** Added to the expiry of a grant for the time that a connection reset takes to reach the endpoint, and for timer rounding. */
     time_span expiryMargin = std::chrono::milliseconds(80);
     time_span planInterval = std::chrono::milliseconds(400);
+    /** Time until the next plan if moves to balance load are left over, because as many as allowed are unsettled. */
+    time_span busyPlanInterval = std::chrono::milliseconds(200);
     /**
      * Time without new endpoints after which keys are first assigned. When a deployment starts, its endpoints register within this
      * time of each other.
@@ -49,7 +51,9 @@
      * instances, so changes within this time are batched into one write.
      */
     time_span minWriteInterval = std::chrono::milliseconds(120);
-    /** Moves to balance load are started only while fewer assignments than this are unsettled. */
+    /** Minimum time between two moves of a key to a faster owner. */
+    time_span fastOwnerInterval = std::chrono::seconds(5);
+    /** Moves to balance load are started only while fewer assignments than this, or than a tenth of the endpoints, are unsettled. */
     std::uint32_t maxConcurrentMoves = 8;
 };
 
--- a/libs/key_ownership/key_assigner_planning.cpp
+++ b/libs/key_ownership/key_assigner_planning.cpp
@@ -15,7 +15,16 @@
 
 // Number of ranges per endpoint above which adjacent ranges of one owner are joined, because each range is renewed by a separate call.
 constexpr std::size_t maxRangesPerEndpoint = 2;
-constexpr std::size_t maxJoinsPerPlan = 4;
+constexpr std::size_t maxJoinsPerPlan = 16;
+// Number of ranges up to which ranges are split to balance load: some ranges for each endpoint, and some for a small service.
+constexpr std::size_t maxSplitRangesPerEndpoint = 3;
+constexpr std::size_t minSplitRanges = 32;
+// Balancing may have one move in flight for this many endpoints.
+constexpr std::size_t endpointsPerConcurrentMove = 10;
+// Ranges beyond maxRangesPerEndpoint are gathered over about this many plans.
+constexpr std::size_t plansToGather = 16;
+// Endpoints of which a higher share of requests fails receive no keys to balance load.
+constexpr double maxFailureShareOfRecipient = 0.25;
 // Moves that were held start soon after the reason has gone.
 constexpr time_span heldPlanInterval = std::chrono::milliseconds(40);
 // Time for all endpoints to answer after a lost path has returned: the timeout of an order that was sent before, a retry, and some margin.
@@ -148,13 +157,15 @@
             indexes[endpoint.entry.incarnation] = input.incarnations.size();
             input.incarnations.push_back(endpoint.entry.incarnation);
             const double slots = std::max(1U, endpoint.entry.workerSlots);
-            input.endpoints.push_back({ slots, plannedSlowness(id, slots), now < endpoint.stateSince + endpoint.entry.warmupRemaining });
+            input.endpoints.push_back({ slots,
+                                        plannedSlowness(id, slots),
+                                        now<endpoint.stateSince + endpoint.entry.warmupRemaining, load.failureShare(id)> maxFailureShareOfRecipient });
         }
     }
     for (const assignment &each : assignments) {
         const auto owner = indexes.find(each.owner);
         input.ranges.push_back(
-            { each.keys, owner == indexes.end() ? std::nullopt : std::optional(owner->second), each.settled && !each.superseded && now >= each.movableFrom });
+            { each.keys, owner == indexes.end() ? std::nullopt : std::optional(owner->second), each.settled && !each.superseded, now < each.movableFrom });
     }
     return input;
 }
@@ -179,15 +190,51 @@
     if (input.endpoints.empty()) {
         return;
     }
-    range_planner planner(load, input.endpoints, input.ranges, {});
+    planner_settings limits;
+    limits.maxRanges = maxSplitRangesPerEndpoint * input.endpoints.size() + minSplitRanges;
+    range_planner planner(load, input.endpoints, input.ranges, limits);
     apply(planner.assignUnowned(), input, "owner_unusable", now);
+    if (now >= balanceNotBefore) {
+        balance(planner, input, now);
+    }
+    joinNeighbours(input.endpoints.size());
+}
+
+std::size_t key_assigner::impl::balancingMoves(std::size_t usableEndpoints) const
+{
     const auto moving = static_cast<std::size_t>(std::count_if(assignments.begin(), assignments.end(), [](const assignment &each) {
         return !each.settled;
     }));
-    if (now >= balanceNotBefore && moving < settings.maxConcurrentMoves) {
-        apply(planner.balance(settings.maxConcurrentMoves - moving), input, "balance", now);
+    const std::size_t limit = std::max<std::size_t>(settings.maxConcurrentMoves, usableEndpoints / endpointsPerConcurrentMove);
+    return limit - std::min(limit, moving);
+}
+
+void key_assigner::impl::balance(range_planner &planner, const plan_input &input, monotonic_time now)
+{
+    if (balancingMoves(input.endpoints.size()) == 0) {
+        nextPlan = now + settings.busyPlanInterval;
+        return;
     }
-    joinNeighbours(input.endpoints.size());
+    std::erase_if(fastOwnerSince, [&](const auto &item) {
+        return now - item.second >= settings.fastOwnerInterval;
+    });
+    const std::vector<planned_move> fast = planner.moveOverloadedKeys(balancingMoves(input.endpoints.size()), [&](std::uint32_t key) {
+        return !fastOwnerSince.contains(key);
+    });
+    for (const planned_move &move : fast) {
+        fastOwnerSince[move.keys.first] = now;
+    }
+    apply(fast, input, "fast_owner", now);
+    const std::size_t allowed = balancingMoves(input.endpoints.size());
+    const std::vector<planned_move> moves = planner.balance(allowed);
+    apply(moves, input, "balance", now);
+    if (moves.size() == allowed) {
+        nextPlan = now + settings.busyPlanInterval;
+    }
+    const std::size_t excess = assignments.size() - std::min(assignments.size(), maxRangesPerEndpoint * input.endpoints.size());
+    // A fraction of the excess, so that the ranges of a load that soon returns are still there.
+    const std::size_t gathered = std::min((excess + plansToGather - 1) / plansToGather, balancingMoves(input.endpoints.size()));
+    apply(planner.gatherRanges(gathered), input, "join", now);
 }
 
 void key_assigner::impl::renewTokens(monotonic_time now)
--- a/tests/unit/key_ownership/range_planner_test.cpp
+++ b/tests/unit/key_ownership/range_planner_test.cpp
@@ -155,6 +155,20 @@
     }
 }
 
+// Guards against keys that are given to an endpoint because it fails fast and so looks idle.
+Test(range_planner, failing_endpoints_receive_no_keys)
+{
+    const key_load load = demandOf({ 0, 1000 }, 3);
+    std::vector<planning_endpoint> endpoints(6, { 2, 1, false });
+    endpoints[5].failing = true;
+    range_planner planner(load, endpoints, evenRanges(6), {});
+    const auto moves = planner.balance(8);
+    cr_assert_not(moves.empty());
+    for (const planned_move &move : moves) {
+        cr_expect_neq(move.target, 5U);
+    }
+}
+
 // Load pattern: few requests per endpoint. Guards against moves that are caused by random request arrivals alone.
 Test(range_planner, random_differences_between_equal_endpoints_move_nothing)
 {
