--- a/libs/directory/endpoint_directory.cpp
+++ b/libs/directory/endpoint_directory.cpp
@@ -19,13 +19,20 @@
 
 } // namespace
 
+bool acceptsNewWork(const listed_endpoint &endpoint) noexcept
+{
+    return !endpoint.entry.draining && !endpoint.evacuatedSince;
+}
+
 std::vector<listed_endpoint> usableForNewWork(const std::vector<listed_endpoint> &endpoints)
 {
+    std::vector<listed_endpoint> accepting;
+    std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(accepting), acceptsNewWork);
     std::vector<listed_endpoint> registered;
-    std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(registered), [](const listed_endpoint &each) {
+    std::copy_if(accepting.begin(), accepting.end(), std::back_inserter(registered), [](const listed_endpoint &each) {
         return !each.missingUntil;
     });
-    return registered.size() * 2 >= endpoints.size() ? registered : endpoints;
+    return registered.size() * 2 >= accepting.size() ? registered : accepting;
 }
 
 endpoint_directory::endpoint_directory(time_span gracePeriod)
@@ -132,13 +139,57 @@
     const bool sameState = !inserted && known.entry.incarnation == entry.incarnation && known.entry.draining == entry.draining;
     const bool unchanged = sameState && known.entry.incarnation.address == entry.incarnation.address && known.entry.service == entry.service
         && known.entry.zone == entry.zone && known.entry.workerSlots == entry.workerSlots && !known.missingUntil;
+    const bool coldChanged = endAssumedCold(record, known, now);
     known.entry = entry;
     known.offset = record.offset;
+    known.evacuatedSince = evacuatedSince(entry.zone);
     known.missingUntil.reset();
     if (!sameState) {
         known.stateSince = leaving.value_or(now);
     }
-    return !unchanged;
+    return !unchanged || coldChanged;
+}
+
+bool endpoint_directory::endAssumedCold(const directory_record &record, listed_endpoint &known, monotonic_time now)
+{
+    if (record.offset <= known.offset || m_assumedCold.erase(record.id) == 0) {
+        return false;
+    }
+    known.coldUntil = now + record.entry->warmupRemaining;
+    return true;
+}
+
+std::optional<monotonic_time> endpoint_directory::evacuatedSince(const availability_zone &zone) const
+{
+    const auto found = m_evacuated.find(zone);
+    return found == m_evacuated.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool endpoint_directory::setEvacuated(const std::set<availability_zone> &zones,
+                                      const std::function<time_span(const service_id &)> &coldTime,
+                                      monotonic_time now)
+{
+    std::erase_if(m_evacuated, [&](const auto &item) {
+        return !zones.contains(item.first);
+    });
+    for (const availability_zone &zone : zones) {
+        m_evacuated.try_emplace(zone, now);
+    }
+    bool changed = false;
+    for (auto &[id, known] : m_endpoints) {
+        const std::optional<monotonic_time> since = evacuatedSince(known.entry.zone);
+        if (since == known.evacuatedSince) {
+            continue;
+        }
+        changed = true;
+        known.evacuatedSince = since;
+        const time_span cold = since ? time_span::zero() : coldTime(known.entry.service);
+        if (cold > time_span::zero()) {
+            known.coldUntil = std::max(known.coldUntil, now + cold);
+            m_assumedCold.insert(id);
+        }
+    }
+    return changed;
 }
 
 bool endpoint_directory::remove(const endpoint_id &id, monotonic_time now)
@@ -167,6 +218,7 @@
     });
     m_removed[id] = { m_endpoints.at(id).entry.incarnation.startedAtMs, now };
     m_endpoints.erase(id);
+    m_assumedCold.erase(id);
 }
 
 void endpoint_directory::sourceLost()
--- a/libs/directory/endpoint_directory.h
+++ b/libs/directory/endpoint_directory.h
@@ -2,8 +2,10 @@
 
 #include "directory/endpoint_entry.h"
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace sycamoretray
@@ -23,10 +25,13 @@
     std::optional<monotonic_time> missingUntil;
 };
 
+/** Returns whether the endpoint may get requests that another endpoint can run: it is not draining, and its zone is not evacuated. Thread-safe. */
+bool acceptsNewWork(const listed_endpoint &endpoint) noexcept;
+
 /**
- * Selects the endpoints of one service for requests that any of them can run.
+ * Selects the endpoints of one service for requests that any of them can run: of those that accept new work, the registered ones.
  *
- * Endpoints with a missing entry are left out, unless they are more than half of all: an instance that was disconnected cannot
+ * Endpoints with a missing entry are left out, unless they are more than half: an instance that was disconnected cannot
  * distinguish an endpoint that left in the meantime from one that is about to register again after an outage.
  *
  * Thread-safe.
@@ -71,6 +76,17 @@
      */
     bool setLeaving(const endpoint_incarnation &incarnation, monotonic_time now);
 
+    /**
+     * Sets the evacuated zones. Endpoints in them are marked with the time since which their zone is evacuated, also those that register
+     * later. Returns whether the mark of any endpoint changed.
+     *
+     * The endpoints of a zone that is not evacuated any more may have become cold without having reported it yet. They count as cold for a
+     * time that depends on their service, until their entry is read in a later version.
+     *
+     * @param coldTime  returns that time; zero for a service whose endpoints need no protection
+     */
+    bool setEvacuated(const std::set<availability_zone> &zones, const std::function<time_span(const service_id &)> &coldTime, monotonic_time now);
+
     /** Records that the source cannot be read. Repeated calls have no effect. */
     void sourceLost();
 
@@ -91,6 +107,11 @@
     /** Applies an entry of a listing that may be older than what is known. */
     bool applyOlder(const directory_record &record, monotonic_time now);
 
+    /** Returns since when the zone is evacuated, if it is. */
+    std::optional<monotonic_time> evacuatedSince(const availability_zone &zone) const;
+    /** Ends the time in which an endpoint counts as cold after an evacuation, if it has written a new version of its entry. */
+    bool endAssumedCold(const directory_record &record, listed_endpoint &known, monotonic_time now);
+
     /** Returns when the incarnation said that it leaves, if it did. */
     std::optional<monotonic_time> leavingSince(const endpoint_incarnation &incarnation) const;
 
@@ -112,6 +133,10 @@
     std::optional<monotonic_time> m_gracePeriodEnd;
     std::map<endpoint_id, listed_endpoint> m_endpoints;
     std::optional<store_era> m_era;
+    /** Evacuated zones, and since when this is known. */
+    std::map<availability_zone, monotonic_time> m_evacuated;
+    /** Endpoints that count as cold after an evacuation, although no entry says so. */
+    std::set<endpoint_id> m_assumedCold;
     /** Endpoints that were removed shortly before. */
     std::map<endpoint_id, removed_endpoint> m_removed;
     /** Endpoints that said themselves that they leave. */
--- a/tests/unit/platform/configuration_codec_test.cpp
+++ b/tests/unit/platform/configuration_codec_test.cpp
@@ -48,3 +48,12 @@
     cr_expect(platform::decodeConfiguration(text, problem) == nullptr);
     cr_expect(problem.find("TimeoutMs") != std::string::npos);
 }
+
+// Guards against other keys of the operator topic that are taken for evacuations.
+Test(configuration_codec, evacuation_is_named_by_its_key)
+{
+    cr_expect(platform::evacuatedZone("evacuate/kosice-a") == availability_zone("kosice-a"));
+    for (const char *key : { "evacuate/", "evacuate", "config", "x/evacuate/kosice-a" }) {
+        cr_expect_not(platform::evacuatedZone(key).has_value(), "%s", key);
+    }
+}
