Move all keys out of an evacuated zone at once

Cause: the assigner took endpoints of an evacuated zone for owners like any others.

Change: an endpoint that is evacuated is not usable, like a draining one, so that the next plan gives its keys to others, all in one record. Evacuated endpoints are left out where the assigner decides whether it has lost its own path, because a zone may be shut down after its evacuation; they are probed only while they may hold keys.

The new tests fail if evacuated endpoints are counted as lost or probed.

--- a/libs/key_ownership/detail/key_assigner_impl.h
+++ b/libs/key_ownership/detail/key_assigner_impl.h
@@ -100,6 +100,8 @@
     impl(service_id givenService, assigner_settings givenSettings);
     const listed_endpoint *findListed(const endpoint_incarnation &incarnation) const;
     bool isUsable(const listed_endpoint &endpoint) const;
+    /** Returns whether the incarnation owns a range of keys or has not released one. */
+    bool mayHoldKeys(const endpoint_incarnation &incarnation) const;
     /** Indicates that this instance, rather than each of the endpoints, has probably lost its network connection. */
     bool mostEndpointsUnresponsive() const;
     /** Returns the later incarnation at the same address or under the same id, which proves that @p incarnation has terminated; else nullptr. */
--- a/libs/key_ownership/key_assigner.cpp
+++ b/libs/key_ownership/key_assigner.cpp
@@ -41,15 +41,28 @@
 bool key_assigner::impl::isUsable(const listed_endpoint &endpoint) const
 {
     const endpoint_incarnation &incarnation = endpoint.entry.incarnation;
-    return !endpoint.entry.draining && !endpoint.missingUntil && !responsiveness.isUnresponsive(incarnation) && !hasTerminated(incarnation);
+    return acceptsNewWork(endpoint) && !endpoint.missingUntil && !responsiveness.isUnresponsive(incarnation) && !hasTerminated(incarnation);
 }
 
 bool key_assigner::impl::mostEndpointsUnresponsive() const
 {
-    const auto unresponsive = static_cast<std::size_t>(std::count_if(endpoints.begin(), endpoints.end(), [&](const listed_endpoint &endpoint) {
-        return responsiveness.isUnresponsive(endpoint.entry.incarnation);
-    }));
-    return unresponsive * 2 > endpoints.size();
+    // An evacuated zone may be shut down, which says nothing about the path to the other endpoints.
+    const auto considered = std::count_if(endpoints.begin(), endpoints.end(), [](const listed_endpoint &endpoint) {
+        return !endpoint.evacuatedSince;
+    });
+    const auto unresponsive = std::count_if(endpoints.begin(), endpoints.end(), [&](const listed_endpoint &endpoint) {
+        return !endpoint.evacuatedSince && responsiveness.isUnresponsive(endpoint.entry.incarnation);
+    });
+    return unresponsive * 2 > considered;
+}
+
+bool key_assigner::impl::mayHoldKeys(const endpoint_incarnation &incarnation) const
+{
+    return std::any_of(assignments.begin(), assignments.end(), [&](const assignment &each) {
+        return each.owner == incarnation || std::any_of(each.otherHolders.begin(), each.otherHolders.end(), [&](const other_holder &holder) {
+                   return holder.incarnation == incarnation;
+               });
+    });
 }
 
 const endpoint_incarnation *key_assigner::impl::successorOf(const endpoint_incarnation &incarnation) const
@@ -339,7 +352,9 @@
         d->sendDueOrders(each, mayDecide, now);
     }
     for (const endpoint_incarnation &incarnation : d->responsiveness.dueProbes(now)) {
-        if (d->findListed(incarnation) != nullptr) {
+        const listed_endpoint *listed = d->findListed(incarnation);
+        const bool needed = listed != nullptr && (!listed->evacuatedSince || d->mayHoldKeys(incarnation));
+        if (needed) {
             const order_id order = d->openOrder(order_kind::probe, 0, incarnation, now);
             d->actions.emplace_back(probe_endpoint{ order, incarnation });
         }
--- a/libs/key_ownership/key_assigner_reach.cpp
+++ b/libs/key_ownership/key_assigner_reach.cpp
@@ -11,8 +11,11 @@
 endpoint_reach key_assigner::reach(monotonic_time now) const
 {
     endpoint_reach result;
-    result.endpoints = d->endpoints.size();
     for (const listed_endpoint &endpoint : d->endpoints) {
+        if (endpoint.evacuatedSince) {
+            continue;
+        }
+        ++result.endpoints;
         if (d->responsiveness.isUnresponsive(endpoint.entry.incarnation)) {
             result.unresponsive.push_back(endpoint.entry.incarnation.endpoint);
         }
--- a/tests/unit/key_ownership/endpoint_reach_test.cpp
+++ b/tests/unit/key_ownership/endpoint_reach_test.cpp
@@ -73,3 +73,31 @@
     cr_expect(assigner.reach(now).unresponsive.empty());
     cr_expect_eq(assigner.reach(now).lapsedKeys, 0U);
 }
+
+// Guards against probes of endpoints that are shut down in an evacuated zone, and against counting them as a lost path.
+Test(endpoint_reach, endpoints_without_keys_in_an_evacuated_zone_are_left_alone)
+{
+    key_assigner assigner(service, {});
+    const monotonic_time start(100s);
+    assigner.start(std::nullopt, 1, network_address("10.0.1.1:1"), 0s, start);
+    std::vector<listed_endpoint> listed = endpoints(4);
+    assigner.setEndpoints(listed, start);
+    monotonic_time now = run(assigner, run(assigner, start, 4s, 4), 1200ms, 1);
+    cr_expect_eq(assigner.reach(now).unresponsive.size(), 3U);
+    for (std::size_t i = 1; i < 4; ++i) {
+        listed[i].evacuatedSince = now;
+    }
+    assigner.setEndpoints(listed, now);
+    now = run(assigner, now, 12s, 1);
+    cr_expect_eq(assigner.reach(now).endpoints, 1U);
+    cr_expect_not(assigner.reach(now).isMostlyUnresponsive());
+    for (const monotonic_time end = now + 3s; now < end; now += 40ms) {
+        for (const assigner_action &action : assigner.act(true, now)) {
+            cr_expect_not(std::holds_alternative<probe_endpoint>(action));
+            if (const auto *grant = std::get_if<send_grant>(&action)) {
+                cr_expect(grant->endpoint.endpoint == endpoint_id("e0"));
+                assigner.orderDone(grant->order, { order_outcome::accepted, {}, {} }, now);
+            }
+        }
+    }
+}
--- a/tests/unit/key_ownership/ownership_simulation.cpp
+++ b/tests/unit/key_ownership/ownership_simulation.cpp
@@ -328,6 +328,7 @@
             entry.entry.workerSlots = 2;
             entry.entry.draining = each.draining;
             entry.stateSince = each.stateSince;
+            entry.evacuatedSince = each.evacuatedSince;
             listed.push_back(entry);
         }
     }
@@ -375,6 +376,19 @@
     return served;
 }
 
+std::size_t ownership_simulation::heldKeys(bool evacuated) const
+{
+    std::size_t held = 0;
+    for (const process &each : m_processes) {
+        if (each.up && each.evacuatedSince.has_value() == evacuated) {
+            held += static_cast<std::size_t>(std::count_if(each.keys.begin(), each.keys.end(), [&](const held_key &key) {
+                return key.token != 0 && key.until > m_now;
+            }));
+        }
+    }
+    return held;
+}
+
 std::size_t ownership_simulation::rememberedIncarnations() const
 {
     return m_assigners.back()->assigner->rememberedIncarnations();
@@ -437,6 +451,12 @@
     publishDirectory();
 }
 
+void ownership_simulation::setEvacuated(std::size_t endpoint, bool evacuated)
+{
+    m_processes[endpoint].evacuatedSince = evacuated ? std::optional(m_now) : std::nullopt;
+    publishDirectory();
+}
+
 void ownership_simulation::setCopiedAnswer(std::size_t endpoint, order_outcome answer)
 {
     m_processes[endpoint].copiedAnswer = answer;
--- a/tests/unit/key_ownership/ownership_simulation.h
+++ b/tests/unit/key_ownership/ownership_simulation.h
@@ -58,6 +58,8 @@
 
     /** Number of watched keys that a reachable endpoint holds now. */
     std::size_t servedKeys() const;
+    /** Number of watched keys that are held by endpoints of evacuated zones, or by the others. */
+    std::size_t heldKeys(bool evacuated) const;
     /** Of the newest assigner; see key_assigner::rememberedIncarnations(). */
     std::size_t rememberedIncarnations() const;
     static std::size_t watchedKeys();
@@ -77,6 +79,7 @@
     void restart(std::size_t endpoint, time_span registerAfter, bool keepId);
     void setUnreachable(std::size_t endpoint, bool unreachable);
     void setDraining(std::size_t endpoint);
+    void setEvacuated(std::size_t endpoint, bool evacuated);
     /** The endpoint applies grants, but writes a copy of an earlier answer instead of its own. */
     void setCopiedAnswer(std::size_t endpoint, order_outcome answer);
     /** Replaces the assigner. The old one continues for some time without knowing. */
@@ -94,6 +97,7 @@
         bool up = true;
         bool unreachable = false;
         bool draining = false;
+        std::optional<monotonic_time> evacuatedSince;
         std::optional<order_outcome> copiedAnswer;
         double clockRate = 1;
         std::vector<held_key> keys;
