Send no requests to evacuated zones

Cause: gateways and permit coordinators used endpoints of a zone that the operator had evacuated.

Change: store_feeds applies the records of the operator topic to the directory before the configuration. Endpoints of an evacuated zone get no request that another endpoint can run; requests for keys that they own go on for gateway_settings::evacuationTime and are parked then. Requests that wait for a permit in a zone without an endpoint left ask in another zone. Events zone_evacuated and zone_returned, gauge sycamoretray_evacuated_zones, state dump.

A coordinator that knows no endpoint in the zone is told apart from one that cannot be reached: the request asks in other zones, and up to five times again, since sending without a permit overfills endpoints.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -284,6 +284,9 @@
     metrics.gauge("sycamoretray_store_era", [this] {
         return static_cast<double>(feeds.era().value());
     });
+    metrics.gauge("sycamoretray_evacuated_zones", [this] {
+        return static_cast<double>(feeds.evacuatedZones().size());
+    });
     metrics.gauge("sycamoretray_assigner", [this] {
         return ownership.isLeader() ? 1.0 : 0.0;
     });
@@ -390,6 +393,11 @@
         router.permitUnavailable(permit, now);
         armGatewayTimer();
     };
+    observer.noEndpoint = [this](permit_id permit, monotonic_time now) {
+        metrics.counter("sycamoretray_permits_unavailable_total").add();
+        router.permitWithoutEndpoint(permit, now);
+        armGatewayTimer();
+    };
     return observer;
 }
 
@@ -530,16 +538,17 @@
 void gateway_daemon::impl::runMaintenance()
 {
     const monotonic_time now = steadyNow();
-    feeds.expireEndpoints(now);
+    feeds.expire(now);
     instancePublisher.update(!stopping && ownership.isCurrentRelay(false) && feeds.isComplete(), feeds.instances(), now);
     endpoints.closeUnused(now);
     forwarder.closeUnused(now);
     const auto &listed = feeds.directory().endpoints();
-    const bool anyDraining = std::any_of(listed.begin(), listed.end(), [](const auto &item) {
-        return item.second.entry.draining;
+    const bool anyLeaving = std::any_of(listed.begin(), listed.end(), [&](const auto &item) {
+        const auto &evacuated = item.second.evacuatedSince;
+        return item.second.entry.draining || (evacuated && now - *evacuated < settings.evacuationLimit);
     });
-    if (anyDraining) {
-        // Draining endpoints get no requests after the drain time; the router checks it in this call.
+    if (anyLeaving) {
+        // Draining and evacuated endpoints get no requests after a time; the router checks it in this call.
         router.setEndpoints(listed, now);
     }
     armGatewayTimer();
@@ -597,7 +606,7 @@
 
 std::string gateway_daemon::impl::dump()
 {
-    return "{\"gateway\":" + router.dump(steadyNow()) + ",\"ownership\":" + ownership.dump() + "}";
+    return R"({"evacuated_zones":)" + feeds.dumpEvacuatedZones() + R"(,"gateway":)" + router.dump(steadyNow()) + R"(,"ownership":)" + ownership.dump() + "}";
 }
 
 // --- start and stop ---
--- a/apps/sycamoretrayd/gateway/store_feeds.cpp
+++ b/apps/sycamoretrayd/gateway/store_feeds.cpp
@@ -1,5 +1,6 @@
 #include "sycamoretrayd/gateway/store_feeds.h"
 
+#include "documents/json_text.h"
 #include "documents/network_address_text.h"
 #include "executor/steady_time.h"
 #include "metadata_store/keyed_topic_follower.h"
@@ -10,6 +11,8 @@
 #include "sycamoretrayd/gateway/relay_record.h"
 #include "sycamoretrayd/gateway/topic_relay.h"
 
+#include <nlohmann/json.hpp>
+
 #include <set>
 #include <utility>
 
@@ -41,6 +44,9 @@
     coordinator_candidates instances;
     std::set<std::string> failingTopics;
     endpoint_directory directory;
+    evacuated_zones evacuations;
+    /** Evacuated zones as the directory knows them. */
+    std::set<availability_zone> evacuated;
     ownership_view ownership;
     std::shared_ptr<const request_routes> routes;
     bool endpointsListed = false;
@@ -138,6 +144,46 @@
         return withRelayCopy(platform::endpointTopic, std::move(result));
     }
 
+    static std::vector<evacuation_record> evacuationRecords(const std::vector<keyed_record> &records)
+    {
+        std::vector<evacuation_record> result;
+        for (const keyed_record &record : records) {
+            if (auto zone = platform::evacuatedZone(record.key)) {
+                result.push_back({ std::move(*zone), record.value.has_value(), record.offset });
+            }
+        }
+        return result;
+    }
+
+    /** Time for which endpoints of the service count as cold after an evacuation. */
+    time_span coldTimeOf(const service_id &service) const
+    {
+        const service_definition *definition = routes ? routes->service(service) : nullptr;
+        return definition != nullptr && definition->coldRequestRate ? definition->coldTime : time_span::zero();
+    }
+
+    /** Passes the evacuated zones on, if they changed. */
+    void updateEvacuations()
+    {
+        const std::set<availability_zone> before = std::exchange(evacuated, evacuations.zones());
+        for (const availability_zone &zone : evacuated) {
+            if (!before.contains(zone)) {
+                logEvent("zone_evacuated", { { "zone", zone.value() } });
+            }
+        }
+        for (const availability_zone &zone : before) {
+            if (!evacuated.contains(zone)) {
+                logEvent("zone_returned", { { "zone", zone.value() } });
+            }
+        }
+        const auto coldTime = [this](const service_id &service) {
+            return coldTimeOf(service);
+        };
+        if (directory.setEvacuated(evacuated, coldTime, steadyNow())) {
+            observer.endpointsChanged();
+        }
+    }
+
     void applyConfiguration(const std::vector<keyed_record> &records)
     {
         bool changed = false;
@@ -163,13 +209,30 @@
     topic_observer configurationObserver()
     {
         topic_observer result;
-        result.onListed = [this](const std::vector<keyed_record> &records, const topic_position & /*end*/) {
+        // Evacuations come first: with the first configuration, this instance starts to send requests.
+        result.onListed = [this](const std::vector<keyed_record> &records, const topic_position &end) {
             configurationListed = true;
+            if (evacuations.applyListing(evacuationRecords(records), end.era, end.offset, steadyNow())) {
+                updateEvacuations();
+            }
             applyConfiguration(records);
         };
         result.onAppended = [this](const std::vector<keyed_record> &records) {
+            bool changed = false;
+            for (const evacuation_record &record : evacuationRecords(records)) {
+                changed = evacuations.apply(record) || changed;
+            }
+            if (changed) {
+                updateEvacuations();
+            }
             applyConfiguration(records);
         };
+        result.onReadsFailing = [this] {
+            evacuations.sourceLost();
+        };
+        result.onReadsRecovered = [this] {
+            evacuations.sourceReturned(steadyNow());
+        };
         return withRelayCopy(platform::operatorTopic, std::move(result));
     }
 
@@ -270,8 +333,11 @@
     }
 }
 
-void store_feeds::expireEndpoints(monotonic_time now)
+void store_feeds::expire(monotonic_time now)
 {
+    if (d->evacuations.expire(now)) {
+        d->updateEvacuations();
+    }
     if (d->directory.expire(now)) {
         d->observer.endpointsChanged();
     }
@@ -298,6 +364,20 @@
     return d->directory;
 }
 
+const std::set<availability_zone> &store_feeds::evacuatedZones() const noexcept
+{
+    return d->evacuated;
+}
+
+std::string store_feeds::dumpEvacuatedZones() const
+{
+    nlohmann::json names = nlohmann::json::array();
+    for (const availability_zone &zone : d->evacuated) {
+        names.push_back(zone.value());
+    }
+    return toJsonText(names, 1);
+}
+
 const ownership_view &store_feeds::ownership() const noexcept
 {
     return d->ownership;
--- a/apps/sycamoretrayd/gateway/store_feeds.h
+++ b/apps/sycamoretrayd/gateway/store_feeds.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/endpoint_directory.h"
+#include "directory/evacuated_zones.h"
 #include "directory/request_routes.h"
 #include "executor/serial_executor.h"
 #include "key_ownership/ownership_view.h"
@@ -10,6 +11,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <string_view>
 
 namespace sycamoretray
@@ -54,8 +57,8 @@
     /** Restarts all reads, because their connections may be dead after a failure of the store. */
     void restart();
 
-    /** Removes endpoints that did not register again after an outage of the store. */
-    void expireEndpoints(monotonic_time now);
+    /** Removes endpoints that did not register again after an outage of the store, and evacuations that the operator did not write again. */
+    void expire(monotonic_time now);
 
     /** Treats an endpoint as draining, because it said in an answer that it leaves. Repeated calls have no effect. */
     void endpointLeaves(const endpoint_incarnation &incarnation, monotonic_time now);
@@ -64,6 +67,10 @@
     void applyOwnership(const ownership_record &record);
 
     const endpoint_directory &directory() const noexcept;
+    /** Zones that the operator has evacuated; directory() marks their endpoints. */
+    const std::set<availability_zone> &evacuatedZones() const noexcept;
+    /** Returns their names as JSON. */
+    std::string dumpEvacuatedZones() const;
     const ownership_view &ownership() const noexcept;
     /** Empty before the first configuration. */
     const std::shared_ptr<const request_routes> &routes() const noexcept;
--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -57,15 +57,18 @@
      * Sets the zone of a permit request: this instance's zone first, then other zones if the wait there is long. If all refuse, the
      * request waits in the first zone as long as the answer is useful. Returns false if no zone has endpoints.
      */
-    bool chooseZone(const unanswered_request &pending, permit_request &permitRequest);
+    bool chooseZone(const unanswered_request &pending, permit_request &permitRequest) const;
     /** Sets what is known of the request limits of the endpoints of the queue. */
     void setRequestLimit(permit_request &permitRequest, const detail::queue_id &queueId, monotonic_time now);
-    bool mayAskOtherZone(const unanswered_request &pending);
+    bool mayAskOtherZone(const unanswered_request &pending) const;
+    /** Zones in which a permit for the request can be asked for, in order. */
+    std::vector<availability_zone> zonesFor(const unanswered_request &pending) const;
     /** Ends the wait for @p permit and returns its request, or nullptr if none waits for it. */
     unanswered_request *takeAwaitingPermit(permit_id permit);
     void permitGranted(permit_id permit, const endpoint_incarnation &incarnation, monotonic_time now);
     void permitRefused(permit_id permit, time_span retryAfter, monotonic_time now);
     void permitUnavailable(permit_id permit, monotonic_time now);
+    void permitWithoutEndpoint(permit_id permit, monotonic_time now);
     /** Withdraws the request for a permit, or returns the permit. */
     void cancelPermit(unanswered_request &pending, monotonic_time now);
     void returnPermit(unanswered_request &pending, const permit_result &result, monotonic_time now);
--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -86,13 +86,22 @@
         position->second.limiter.update(endpoint);
         position->second.limiter.setInstances(instances > 0 ? instances : initialInstances);
         position->second.stateSince = endpoint.stateSince;
+        position->second.evacuatedSince = endpoint.evacuatedSince;
         services[endpoint.entry.service].push_back(endpoint);
     }
     endpointsOfService.clear();
+    evacuatedServices.clear();
     for (const auto &[service, members] : services) {
-        for (const listed_endpoint &endpoint : usableForNewWork(members)) {
+        const std::vector<listed_endpoint> usable = usableForNewWork(members);
+        for (const listed_endpoint &endpoint : usable) {
             endpointsOfService[service].push_back(endpoint.entry.incarnation);
         }
+        const bool anyEvacuated = std::any_of(members.begin(), members.end(), [](const listed_endpoint &endpoint) {
+            return endpoint.evacuatedSince.has_value();
+        });
+        if (usable.empty() && anyEvacuated) {
+            evacuatedServices.insert(service);
+        }
     }
     orderZones();
     removeUnlisted();
@@ -106,10 +115,8 @@
         bool own = false;
         for (const endpoint_incarnation &incarnation : incarnations) {
             const endpoint_entry &entry = trackedEndpoints.at(incarnation).limiter.entry();
-            if (!entry.draining) {
-                own = own || entry.zone == settings.zone;
-                others.insert(entry.zone);
-            }
+            own = own || entry.zone == settings.zone;
+            others.insert(entry.zone);
         }
         others.erase(settings.zone);
         std::vector<availability_zone> zones(others.begin(), others.end());
@@ -133,7 +140,15 @@
 
 bool gateway_state::acceptsKeyedRequests(const tracked_endpoint &tracked, monotonic_time now) const
 {
-    return tracked.limiter.isListed() && (!tracked.limiter.entry().draining || now - tracked.stateSince < settings.drainTime);
+    const bool drained = tracked.limiter.entry().draining && now - tracked.stateSince >= settings.drainTime;
+    const bool evacuated = tracked.evacuatedSince && now - *tracked.evacuatedSince >= settings.evacuationTime;
+    return tracked.limiter.isListed() && !drained && !evacuated;
+}
+
+bool gateway_state::isZoneUsed(const service_id &service, const availability_zone &zone) const
+{
+    const auto zones = zonesOfService.find(service);
+    return zones != zonesOfService.end() && std::find(zones->second.begin(), zones->second.end(), zone) != zones->second.end();
 }
 
 void gateway_state::removeFromQueue(unanswered_request &request)
@@ -186,6 +201,7 @@
                               { "service", tracked.limiter.entry().service.value() },
                               { "zone", tracked.limiter.entry().zone.value() },
                               { "draining", tracked.limiter.entry().draining },
+                              { "evacuated", tracked.evacuatedSince.has_value() },
                               { "listed", tracked.limiter.isListed() },
                               { "in_flight", tracked.limiter.inFlight() },
                               { "load", tracked.limiter.estimatedLoad(now) },
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -81,9 +81,15 @@
     std::optional<permit_id> permit;
     /** Owner of the key when the permit was asked for. */
     endpoint_incarnation permitOwner;
+    /** Zone in which the permit was asked for, if the request has no key. */
+    availability_zone permitZone;
     forward_id forward;
     /** Number of instances that the request was sent to. */
     std::uint32_t forwards = 0;
+    /** Zones whose coordinators know no endpoint for the request, for a service that is not divided by key. */
+    std::set<availability_zone> emptyZones;
+    /** Number of times that the coordinators of all zones knew no endpoint for the request. */
+    std::uint32_t emptyRounds = 0;
     /** Number of zones that refused a permit, for a service that is not divided by key. */
     std::uint32_t zonesAsked = 0;
 };
@@ -110,6 +116,8 @@
     endpoint_limiter limiter;
     /** When the current state (ready or draining) was first seen. */
     monotonic_time stateSince;
+    /** Since when the endpoint's zone is evacuated, if it is. */
+    std::optional<monotonic_time> evacuatedSince;
 };
 
 /** Wakes a request, or a queue if one is set. */
@@ -148,6 +156,8 @@
     std::map<permit_id, gateway_request_id> awaitingPermit;
     /** Zones in which a service has endpoints for new requests: this instance's zone first, the others in an order that differs between instances. */
     std::map<service_id, std::vector<availability_zone>> zonesOfService;
+    /** Services that have endpoints, but none outside evacuated zones that accepts new work. */
+    std::set<service_id> evacuatedServices;
     std::multimap<monotonic_time, timer> timers;
     std::set<queue_id> queueTimers;
     std::map<service_id, service_retry_budget> retryBudgets;
@@ -176,6 +186,9 @@
     /** True if requests may be sent to the endpoint for keys that it holds. */
     bool acceptsKeyedRequests(const tracked_endpoint &tracked, monotonic_time now) const;
 
+    /** Returns whether requests of the service may be sent in the zone. */
+    bool isZoneUsed(const service_id &service, const availability_zone &zone) const;
+
     /** Updates zonesOfService. */
     void orderZones();
 
--- a/libs/gateway/endpoint_limiter.cpp
+++ b/libs/gateway/endpoint_limiter.cpp
@@ -49,6 +49,7 @@
 {
     m_entry = endpoint.entry;
     m_listed = true;
+    m_acceptsNewWork = sycamoretray::acceptsNewWork(endpoint);
     m_coldUntil = endpoint.stateSince + endpoint.entry.warmupRemaining;
 }
 
@@ -67,9 +68,14 @@
     return m_entry;
 }
 
+bool endpoint_limiter::acceptsNewWork() const noexcept
+{
+    return m_acceptsNewWork;
+}
+
 bool endpoint_limiter::takesNewWork(monotonic_time now) const noexcept
 {
-    return m_listed && !m_entry.draining && hasCapacity(now);
+    return m_listed && m_acceptsNewWork && hasCapacity(now);
 }
 
 bool endpoint_limiter::hasCapacity(monotonic_time now) const noexcept
--- a/libs/gateway/endpoint_limiter.h
+++ b/libs/gateway/endpoint_limiter.h
@@ -40,6 +40,9 @@
 
     const endpoint_entry &entry() const noexcept;
 
+    /** False while the endpoint is draining or its zone is evacuated; see acceptsNewWork(). */
+    bool acceptsNewWork() const noexcept;
+
     /** True if a request that is not bound to the endpoint by its key may be sent now. */
     bool takesNewWork(monotonic_time now) const noexcept;
 
@@ -118,6 +121,7 @@
     endpoint_entry m_entry;
     monotonic_time m_coldUntil{};
     bool m_listed = true;
+    bool m_acceptsNewWork = true;
     endpoint_request_limit m_requestLimit;
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_consecutiveFailures = 0;
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 {
 
 using detail::defaultRetryAfter;
+using detail::maxRetryAfter;
 using detail::minTimeLeft;
 using detail::request_state;
 using detail::shortRetryAfter;
@@ -109,6 +110,11 @@
 
 void gateway::impl::scheduleToAny(unanswered_request &pending, monotonic_time now)
 {
+    if (evacuatedServices.contains(pending.service)) {
+        // It is not known when the operator takes a zone back, so that waiting here would only delay the caller.
+        refuse(pending, result_code::deadline_unreachable, maxRetryAfter, now);
+        return;
+    }
     enqueue(pending, detail::queue_id(pending.service), now);
 }
 
@@ -183,7 +189,10 @@
         for (const detail::queue_position &position : queue) {
             const unanswered_request &pending = *requests.at(position.id);
             const key_owner owner = pending.byKey ? ownership.find(pending.service, *pending.request.key) : key_owner{};
-            if (pending.byKey && (tracked == nullptr || !owner.settled || !(owner.owner == *queueId.endpoint) || !acceptsKeyedRequests(*tracked, now))) {
+            const bool ownerChanged
+                = pending.byKey && (tracked == nullptr || !owner.settled || !(owner.owner == *queueId.endpoint) || !acceptsKeyedRequests(*tracked, now));
+            const bool noZoneLeft = !pending.byKey && evacuatedServices.contains(pending.service);
+            if (ownerChanged || noZoneLeft) {
                 waiting.push_back(position.id);
             }
         }
@@ -196,6 +205,8 @@
             if (tracked == nullptr || !(owner.owner == pending.permitOwner) || !acceptsKeyedRequests(*tracked, now)) {
                 waiting.push_back(id);
             }
+        } else if (!isZoneUsed(pending.service, pending.permitZone)) {
+            waiting.push_back(id);
         }
     }
     for (const gateway_request_id &id : waiting) {
@@ -285,6 +296,11 @@
     d->permitUnavailable(permit, now);
 }
 
+void gateway::permitWithoutEndpoint(permit_id permit, monotonic_time now)
+{
+    d->permitWithoutEndpoint(permit, now);
+}
+
 void gateway::setInstances(std::uint32_t count)
 {
     d->knownInstances = count;
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -151,6 +151,12 @@
     /** Sends or queues the request without a permit, as no coordinator can decide about @p permit. */
     void permitUnavailable(permit_id permit, monotonic_time now);
 
+    /**
+     * Asks in another zone, as the coordinator for @p permit knows no endpoint in this one. For a key, or if no zone has one after some
+     * attempts, sends or queues the request without a permit.
+     */
+    void permitWithoutEndpoint(permit_id permit, monotonic_time now);
+
     /** Processes all timers that have expired. Call it at nextDue(). */
     void advance(monotonic_time now);
 
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -20,6 +20,9 @@
 // A permit is refused if the answer is expected to take longer than this multiple of the latency target. The coordinator knows the
 // whole queue and predicts the time well, so only a small margin is added.
 constexpr double permitTargetFactor = 1.1;
+// Number of times that a request asks again after no zone's coordinator knew an endpoint for it. Instances learn of changes within tenths of a
+// second of each other; requests that are sent without a permit overfill endpoints.
+constexpr std::uint32_t maxEmptyRounds = 5;
 
 } // namespace
 
@@ -48,6 +51,7 @@
     pending.state = request_state::awaiting_permit;
     pending.permit = permitRequest.id;
     pending.permitOwner = permitRequest.owner.value_or(endpoint_incarnation());
+    pending.permitZone = permitRequest.zone;
     awaitingPermit.emplace(permitRequest.id, pending.id);
     permits->ask(permitRequest, now);
     return true;
@@ -70,9 +74,19 @@
     return std::min(pending.deadline - now, target - (now - pending.arrived));
 }
 
-bool gateway::impl::chooseZone(const unanswered_request &pending, permit_request &permitRequest)
+std::vector<availability_zone> gateway::impl::zonesFor(const unanswered_request &pending) const
 {
-    const std::vector<availability_zone> &zones = zonesOfService[pending.service];
+    const auto known = zonesOfService.find(pending.service);
+    std::vector<availability_zone> zones = known == zonesOfService.end() ? std::vector<availability_zone>() : known->second;
+    std::erase_if(zones, [&](const availability_zone &zone) {
+        return pending.emptyZones.contains(zone);
+    });
+    return zones;
+}
+
+bool gateway::impl::chooseZone(const unanswered_request &pending, permit_request &permitRequest) const
+{
+    const std::vector<availability_zone> zones = zonesFor(pending);
     if (zones.empty()) {
         return false;
     }
@@ -88,9 +102,9 @@
     return true;
 }
 
-bool gateway::impl::mayAskOtherZone(const unanswered_request &pending)
+bool gateway::impl::mayAskOtherZone(const unanswered_request &pending) const
 {
-    const std::size_t zones = zonesOfService[pending.service].size();
+    const std::size_t zones = zonesFor(pending).size();
     return !pending.byKey && zones > 1 && pending.zonesAsked < std::min<std::size_t>(zones, 1 + maxOtherZones);
 }
 
@@ -113,7 +127,7 @@
         return;
     }
     detail::tracked_endpoint *tracked = findEndpoint(incarnation);
-    const bool usable = tracked != nullptr && acceptsKeyedRequests(*tracked, now) && (pending->byKey || !tracked->limiter.entry().draining)
+    const bool usable = tracked != nullptr && acceptsKeyedRequests(*tracked, now) && (pending->byKey || tracked->limiter.acceptsNewWork())
         && tracked->limiter.pausedUntil() <= now;
     if (usable) {
         send(*pending, *tracked, now);
@@ -158,6 +172,31 @@
     enqueueLocally(*pending, detail::queue_id(owner.owner), now);
 }
 
+void gateway::impl::permitWithoutEndpoint(permit_id permit, monotonic_time now)
+{
+    const auto found = awaitingPermit.find(permit);
+    if (found == awaitingPermit.end()) {
+        return;
+    }
+    unanswered_request &pending = *requests.at(found->second);
+    if (pending.byKey) {
+        permitUnavailable(permit, now);
+        return;
+    }
+    takeAwaitingPermit(permit);
+    pending.permit.reset();
+    pending.emptyZones.insert(pending.permitZone);
+    if (!zonesFor(pending).empty() || pending.emptyRounds == maxEmptyRounds) {
+        schedule(pending, now);
+        return;
+    }
+    ++pending.emptyRounds;
+    pending.emptyZones.clear();
+    pending.retryAt = now + fullEndpointRetryDelay;
+    pending.state = request_state::delayed;
+    wakeAt(pending, pending.retryAt);
+}
+
 void gateway::impl::cancelPermit(unanswered_request &pending, monotonic_time now)
 {
     if (pending.state == request_state::awaiting_permit) {
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -50,7 +50,7 @@
     bool anyCapacity = false;
     monotonic_time unblockedAt = monotonic_time::max();
     for (detail::tracked_endpoint *tracked : endpointsOf(queueId)) {
-        if (!tracked->limiter.isListed() || (!pending.byKey && tracked->limiter.entry().draining)) {
+        if (!tracked->limiter.isListed() || (!pending.byKey && !tracked->limiter.acceptsNewWork())) {
             continue;
         }
         anyCapacity = anyCapacity || (ahead == 0 && tracked->limiter.hasCapacity(now));
--- a/libs/permits/permit_client.cpp
+++ b/libs/permits/permit_client.cpp
@@ -207,7 +207,7 @@
         requestFromCoordinator(message.id, permit, now);
     } else {
         forget(message.id);
-        m_observer.unavailable(message.id, now);
+        m_observer.noEndpoint(message.id, now);
     }
 }
 
--- a/libs/permits/permit_client.h
+++ b/libs/permits/permit_client.h
@@ -23,6 +23,8 @@
     std::function<void(permit_id permit, time_span retryAfter, monotonic_time now)> refused;
     /** No coordinator is available. */
     std::function<void(permit_id permit, monotonic_time now)> unavailable;
+    /** The coordinator knows no endpoint for the request. */
+    std::function<void(permit_id permit, monotonic_time now)> noEndpoint;
 };
 
 /**
--- a/libs/permits/permit_coordinator.cpp
+++ b/libs/permits/permit_coordinator.cpp
@@ -35,6 +35,9 @@
     std::vector<permit_pool_name> names;
     for (auto &[name, pool] : m_pools) {
         updateEndpoints(name, pool);
+        if (!name.owner && !pool.hasEndpoints()) {
+            redirectWaiting(pool, false);
+        }
         names.push_back(name);
     }
     for (const permit_pool_name &name : names) {
@@ -146,10 +149,15 @@
 {
     m_resigned = true;
     for (auto &[name, pool] : m_pools) {
-        for (const permit_holder &holder : pool.removeWaiting()) {
-            m_holders.erase(holder);
-            m_port.send(holder.instance, permit_unavailable{ holder.id, true });
-        }
+        redirectWaiting(pool, true);
+    }
+}
+
+void permit_coordinator::redirectWaiting(permit_pool &pool, bool stopping)
+{
+    for (const permit_holder &holder : pool.removeWaiting()) {
+        m_holders.erase(holder);
+        m_port.send(holder.instance, permit_unavailable{ holder.id, stopping });
     }
 }
 
--- a/libs/permits/permit_coordinator.h
+++ b/libs/permits/permit_coordinator.h
@@ -39,6 +39,7 @@
 public:
     explicit permit_coordinator(permit_port &port);
 
+    /** Sets the endpoints. Requests that wait in a zone without endpoints for new work are answered with permit_unavailable. */
     void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now);
 
     /** Handles a message from the instance at @p from. Messages to permit clients are ignored. */
@@ -60,6 +61,8 @@
     /** Returns the pool, creating it if needed; nullptr if none of its endpoints is known. */
     permit_pool *findOrCreatePool(const permit_pool_name &name);
     void updateEndpoints(const permit_pool_name &name, permit_pool &pool) const;
+    /** Tells the holders of waiting requests that no permit is granted here. @param stopping  another instance may grant one */
+    void redirectWaiting(permit_pool &pool, bool stopping);
     void decide(const permit_pool_name &name, monotonic_time now);
     /** Removes expired permits, and pools without endpoints and permits. */
     void removeExpired();
--- a/libs/permits/permit_message.h
+++ b/libs/permits/permit_message.h
@@ -41,7 +41,7 @@
     time_span retryAfter{};
 };
 
-/** The instance is not a coordinator for this request: it is stopping, or does not know the endpoint. */
+/** The instance is not a coordinator for this request: it is stopping, or knows no endpoint for it. */
 struct permit_unavailable {
     permit_id id;
     bool stopping = false;
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -200,7 +200,7 @@
     pool_endpoint *best = nullptr;
     double bestTime = 0;
     for (auto &[incarnation, endpoint] : m_endpoints) {
-        const bool usable = endpoint.limiter.isListed() && (request.owner || !endpoint.limiter.entry().draining) && endpoint.limiter.hasCapacity(now);
+        const bool usable = endpoint.limiter.isListed() && (request.owner || endpoint.limiter.acceptsNewWork()) && endpoint.limiter.hasCapacity(now);
         if (!usable) {
             continue;
         }
--- a/tests/unit/gateway/endpoint_emulator.cpp
+++ b/tests/unit/gateway/endpoint_emulator.cpp
@@ -99,6 +99,17 @@
     m_gateway->setEndpoints(m_listed, m_now);
 }
 
+void endpoint_emulator::setEvacuated(std::size_t endpoint, bool evacuated)
+{
+    m_listed[endpoints[endpoint].incarnation.endpoint].evacuatedSince = evacuated ? std::optional(m_now) : std::nullopt;
+    repeatEndpoints();
+}
+
+void endpoint_emulator::repeatEndpoints()
+{
+    m_gateway->setEndpoints(m_listed, m_now);
+}
+
 std::size_t endpoint_emulator::submit(time_span work, std::uint16_t key, std::uint32_t priority, std::optional<time_span> timeLeft)
 {
     const std::size_t index = m_answers.size();
--- a/tests/unit/gateway/endpoint_emulator.h
+++ b/tests/unit/gateway/endpoint_emulator.h
@@ -67,6 +67,10 @@
     /** Assigns all keys from @p first on to endpoint @p owner; the others stay with endpoint 0. */
     void assignFrom(std::uint32_t first, std::size_t owner, bool settled = true, time_span untilExpiry = {});
     void setDraining(std::size_t endpoint);
+    /** Evacuates the endpoint's zone, as far as this endpoint is concerned, or takes it back. */
+    void setEvacuated(std::size_t endpoint, bool evacuated);
+    /** Passes the known endpoints to the gateway again, as the daemon does while some are leaving. */
+    void repeatEndpoints();
 
     /** Submits a request to the gateway now. @param work  run time at an endpoint with slowness 1 */
     std::size_t submit(time_span work, std::uint16_t key = 0, std::uint32_t priority = 0, std::optional<time_span> timeLeft = std::nullopt);
--- a/tests/unit/gateway/gateway_permit_test.cpp
+++ b/tests/unit/gateway/gateway_permit_test.cpp
@@ -64,6 +64,17 @@
         return result;
     }
 
+    std::map<endpoint_id, listed_endpoint> endpoints;
+
+    void addEndpoint(const char *id, const char *zone)
+    {
+        listed_endpoint &endpoint = endpoints[endpoint_id(id)];
+        endpoint.entry.incarnation = { endpoint_id(id), 1, network_address("10.0.0.1:80") };
+        endpoint.entry.service = service_id("s");
+        endpoint.entry.zone = availability_zone(zone);
+        router.setEndpoints(endpoints, now);
+    }
+
     gateway_fixture()
     {
         router.setPermits(source);
@@ -75,11 +86,7 @@
         router.setRoutes(
             std::make_shared<const request_routes>(1, std::vector<request_route>{ route }, std::map<service_id, service_definition>{ { service_id("s"), {} } }),
             now);
-        listed_endpoint endpoint;
-        endpoint.entry.incarnation = { endpoint_id("e"), 1, network_address("10.0.0.1:80") };
-        endpoint.entry.service = service_id("s");
-        endpoint.entry.zone = availability_zone("z");
-        router.setEndpoints({ { endpoint_id("e"), endpoint } }, now);
+        addEndpoint("e", "z");
         gateway_request message;
         message.id = request_id("1");
         message.host = "h";
@@ -165,3 +172,21 @@
     cr_assert_eq(fixture.source.returned.size(), 2U);
     cr_expect_not(fixture.source.returned[1].second.finished);
 }
+
+// Guards against a request that goes on waiting in an evacuated zone, and against one that is sent there with a permit that a coordinator
+// granted before it knew.
+Test(gateway_permits, evacuated_zone_is_left_for_another)
+{
+    gateway_fixture fixture;
+    fixture.addEndpoint("f", "y");
+    cr_assert(fixture.source.asked.size() == 1 && fixture.source.asked[0].zone == availability_zone("z"));
+    fixture.endpoints.at(endpoint_id("e")).evacuatedSince = fixture.now;
+    fixture.router.setEndpoints(fixture.endpoints, fixture.now);
+    cr_assert_eq(fixture.source.asked.size(), 2U);
+    cr_expect(fixture.source.asked[1].zone == availability_zone("y"));
+    cr_assert_eq(fixture.source.returned.size(), 1U);
+    cr_expect(fixture.source.returned[0].first == fixture.source.asked[0].id);
+    fixture.router.permitGranted(fixture.source.asked[1].id, endpoint_id("e"), 1, fixture.now);
+    cr_expect(fixture.port.sent.empty());
+    cr_expect_eq(fixture.source.returned.size(), 2U);
+}
--- a/tests/unit/metadata_store/restored_store_test.cpp
+++ b/tests/unit/metadata_store/restored_store_test.cpp
@@ -1,6 +1,7 @@
 #include "restorable_store.h"
 
 #include "executor/serial_executor.h"
+#include "executor/steady_time.h"
 #include "http_entry/error_answer.h"
 #include "http_entry/http_server.h"
 #include "platform/configuration_codec.h"
@@ -174,3 +175,30 @@
     cr_expect_eq(site.reader->stateOf("e1"), std::string("draining"));
     cr_expect_eq(site.reader->stateOf("e2"), std::string("ready"));
 }
+
+// Guards against an evacuation that does not reach an instance, also one that starts later, or that ends at once when the store returns without
+// its record, or that never ends.
+Test(restored_store, evacuation_outlasts_a_restore_until_it_can_be_written_again)
+{
+    restored_site site;
+    const auto evacuated = [&] {
+        const listed_endpoint &direct = site.direct.feeds.directory().endpoints().at(endpoint_id("e1"));
+        const listed_endpoint &read = site.reader->feeds.directory().endpoints().at(endpoint_id("e1"));
+        return (acceptsNewWork(direct) ? 0 : 1) + (acceptsNewWork(read) ? 0 : 1);
+    };
+    site.store.put("keyed.op", "evacuate/z", "{}");
+    site.context.run_for(500ms);
+    cr_expect_eq(evacuated(), 2);
+    site.reader.emplace(site.store, site.executor, network_address("127.0.0.1:" + std::to_string(site.server.port())));
+    site.context.run_for(500ms);
+    cr_expect_eq(evacuated(), 2, "started later");
+    site.restore(500ms, { { "keyed.op", 1 }, { platform::endpointTopic, 2 } });
+    site.context.run_for(2500ms);
+    site.reader->feeds.expire(steadyNow());
+    site.direct.feeds.expire(steadyNow());
+    cr_expect_eq(evacuated(), 2, "restored");
+    site.context.run_for(3500ms);
+    site.reader->feeds.expire(steadyNow());
+    site.direct.feeds.expire(steadyNow());
+    cr_expect_eq(evacuated(), 0);
+}
--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -98,6 +98,9 @@
         result.unavailable = [this](permit_id permit, monotonic_time now) {
             router->permitUnavailable(permit, now);
         };
+        result.noEndpoint = [this](permit_id permit, monotonic_time now) {
+            router->permitWithoutEndpoint(permit, now);
+        };
         return result;
     }
 
@@ -184,18 +187,13 @@
     definition.dividedByKey = m_settings.dividedByKey;
     instance.router->setRoutes(std::make_shared<const request_routes>(1, routes, std::map<service_id, service_definition>{ { serviceName, definition } }),
                                m_now);
-    std::map<endpoint_id, listed_endpoint> listed;
+    const std::map<endpoint_id, listed_endpoint> listed = listedEndpoints();
     ownership_record record;
     record.service = serviceName;
     record.epoch = 1;
     record.revision = 1;
     record.instances = static_cast<std::uint32_t>(m_instances.size());
     for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
-        listed_endpoint &each = listed[m_endpoints[i]->incarnation.endpoint];
-        each.entry.incarnation = m_endpoints[i]->incarnation;
-        each.entry.service = serviceName;
-        each.entry.zone = m_endpoints[i]->zone;
-        each.entry.workerSlots = m_settings.slots;
         const auto first = static_cast<std::uint32_t>(i * keyCount / m_endpoints.size());
         const auto last = static_cast<std::uint32_t>((i + 1) * keyCount / m_endpoints.size() - 1);
         record.assignments.push_back({ { first, last }, m_endpoints[i]->incarnation, fencing_token(1), {}, fencing_token(), true, {} });
@@ -210,6 +208,52 @@
     }
 }
 
+std::map<endpoint_id, listed_endpoint> permit_simulation::listedEndpoints() const
+{
+    std::map<endpoint_id, listed_endpoint> listed;
+    for (const auto &endpoint : m_endpoints) {
+        listed_endpoint &each = listed[endpoint->incarnation.endpoint];
+        each.entry.incarnation = endpoint->incarnation;
+        each.entry.service = serviceName;
+        each.entry.zone = endpoint->zone;
+        each.entry.workerSlots = m_settings.slots;
+        const auto evacuated = m_evacuated.find(endpoint->zone);
+        each.evacuatedSince = evacuated == m_evacuated.end() ? std::nullopt : std::optional(evacuated->second);
+    }
+    return listed;
+}
+
+void permit_simulation::setEvacuated(std::size_t zone, bool evacuated, time_span spread)
+{
+    if (evacuated) {
+        m_evacuated[zoneName(zone)] = m_now;
+    } else {
+        m_evacuated.erase(zoneName(zone));
+    }
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        // Not in the order of instances, of which neighbours are in different zones.
+        const auto rank = static_cast<std::int64_t>(i * 7 % m_instances.size());
+        schedule(m_now + spread * rank / static_cast<std::int64_t>(m_instances.size()), [this, i, listed = listedEndpoints()] {
+            m_instances[i]->coordinator.setEndpoints(listed, m_now);
+            m_instances[i]->router->setEndpoints(listed, m_now);
+            scheduleAdvance(i);
+        });
+    }
+}
+
+std::size_t permit_simulation::arrivalsInZone(std::size_t zone, monotonic_time since) const
+{
+    std::size_t count = 0;
+    for (const auto &endpoint : m_endpoints) {
+        if (endpoint->zone == zoneName(zone)) {
+            count += static_cast<std::size_t>(std::count_if(endpoint->arrivals.begin(), endpoint->arrivals.end(), [&](const auto &arrival) {
+                return arrival.at >= since;
+            }));
+        }
+    }
+    return count;
+}
+
 std::size_t permit_simulation::ownerOf(std::uint16_t key) const
 {
     for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
--- a/tests/unit/permits/permit_simulation.h
+++ b/tests/unit/permits/permit_simulation.h
@@ -97,6 +97,11 @@
     /** Returns the index of the instance that is the permit coordinator of an endpoint. */
     std::size_t coordinatorOf(std::size_t endpoint) const;
 
+    /** Evacuates a zone, or takes it back. Instances learn of it one after another, within @p spread. */
+    void setEvacuated(std::size_t zone, bool evacuated, time_span spread);
+    /** Number of requests that arrived at endpoints of @p zone since @p since. */
+    std::size_t arrivalsInZone(std::size_t zone, monotonic_time since) const;
+
     /** Runs the simulation for @p duration, with requests arriving. */
     void runArrivals(time_span duration);
     /** Runs the simulation without new requests until all have ended. */
@@ -132,6 +137,7 @@
     void scheduleAdvance(std::size_t instance);
     void submit();
     void publish(simulated_instance &instance);
+    std::map<endpoint_id, listed_endpoint> listedEndpoints() const;
     void requestArrived(std::size_t request, std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint);
     void startNext(std::size_t endpoint);
     void finish(std::size_t endpoint, std::uint64_t run);
@@ -152,6 +158,7 @@
     std::vector<std::unique_ptr<simulated_instance>> m_ended;
     std::map<network_address, std::size_t> m_addresses;
     std::vector<simulated_request> m_requests;
+    std::map<availability_zone, monotonic_time> m_evacuated;
     coordinator_candidates m_candidates;
     std::size_t m_overflowed = 0;
     std::uint64_t m_lastRun = 0;
