--- a/libs/gateway/endpoint_limiter.h
+++ b/libs/gateway/endpoint_limiter.h
@@ -50,6 +50,9 @@
 
     const endpoint_entry &entry() const noexcept;
 
+    /** False while the endpoint is draining or its zone is evacuated; see acceptsNewWork(). */
+    bool acceptsNewWork() const noexcept;
+
     /** True if a request that is not bound to the endpoint by its key may be sent now. */
     bool takesNewWork(monotonic_time now) const noexcept;
 
@@ -133,6 +136,7 @@
     /** The endpoint is cold since it started, not because it became cold later. */
     bool m_coldSinceStart = false;
     bool m_listed = true;
+    bool m_acceptsNewWork = true;
     endpoint_request_limit m_requestLimit;
     cold_request_limit m_coldLimit;
     std::uint32_t m_inFlight = 0;
--- a/libs/permits/permit_coordinator.h
+++ b/libs/permits/permit_coordinator.h
@@ -44,6 +44,7 @@
     /** Sets a callback for each outcome of a promise to a refused request; none by default. Call it before the first message is received. */
     void setPromiseObserver(std::function<void(promise_outcome)> observer);
 
+    /** Sets the endpoints. Requests that wait in a zone without endpoints for new work are answered with permit_unavailable. */
     void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now);
 
     /** Sets the services, whose cold endpoints get no more requests than the services state. */
@@ -72,6 +73,8 @@
     permit_pool *findOrCreatePool(const permit_pool_name &name, monotonic_time now);
     void updateEndpoints(const permit_pool_name &name, permit_pool &pool, monotonic_time now) const;
     void limitWhileCold(const permit_pool_name &name, permit_pool &pool, monotonic_time now) const;
+    /** Tells the holders of waiting requests that no permit is granted here. @param stopping  another instance may grant one */
+    void redirectWaiting(permit_pool &pool, bool stopping);
     void decide(const permit_pool_name &name, monotonic_time now);
     /** Removes expired permits, and pools without endpoints and permits. */
     void removeExpired();
