--- a/tests/unit/permits/permit_load_test.cpp
+++ b/tests/unit/permits/permit_load_test.cpp
@@ -193,18 +193,29 @@
 // is refused for its expected waiting time.
 Test(permit_load, owners_that_refuse_requests_do_not_count_as_slow)
 {
-    simulation_settings settings;
-    permit_simulation simulation(settings);
-    for (std::size_t i = 0; i < settings.endpoints; ++i) {
-        simulation.setRefusalShare(i, 0.55);
+    std::size_t submitted = 0;
+    std::size_t inTime = 0;
+    std::size_t ran = 0;
+    // By chance, single runs fall below a half.
+    constexpr std::uint64_t runs = 8;
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        simulation_settings settings;
+        settings.seed = seed;
+        permit_simulation simulation(settings);
+        for (std::size_t i = 0; i < settings.endpoints; ++i) {
+            simulation.setRefusalShare(i, 0.55);
+        }
+        setConstantRate(simulation, capacity * lowLoad);
+        simulation.runArrivals(10s);
+        simulation.runToEnd();
+        const simulation_result all = simulation.result();
+        submitted += all.submitted;
+        inTime += all.withinLatencyTarget;
+        ran += all.ran;
     }
-    setConstantRate(simulation, capacity * lowLoad);
-    simulation.runArrivals(10s);
-    simulation.runToEnd();
-    const simulation_result all = simulation.result();
     // The first attempt succeeds for 45 of 100 requests, and the retry budget is a fifth of the requests.
-    cr_expect(share(all.withinLatencyTarget, all.submitted) > 0.5, "%zu of %zu in time", all.withinLatencyTarget, all.submitted);
-    cr_expect(share(all.ran, all.submitted) > 0.5, "%zu of %zu ran", all.ran, all.submitted);
+    cr_expect(share(inTime, submitted) > 0.5, "%zu of %zu in time", inTime, submitted);
+    cr_expect(share(ran, submitted) > 0.5, "%zu of %zu ran", ran, submitted);
 }
 
 // Load pattern: a service that is not divided by key, with all requests arriving in one zone. Requests that would wait there are sent
