Play endpoints that reset requests and endpoints of uneven speed

Cause: no load test has endpoints that fail fast, or that report how fast they are at the moment. Change: permit_simulation plays reset connections, slow intervals with the fourth figure of the load report, and other distributions of run times. uneven_endpoints_test states what is wanted of both loads.

--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr time_span networkDelay = std::chrono::microseconds(600);
+constexpr time_span slowIntervalLength = std::chrono::milliseconds(400);
+constexpr double slowIntervalFactor = 3;
 const service_id serviceName("s");
 
 availability_zone zoneName(std::size_t index)
@@ -31,6 +33,7 @@
     availability_zone zone;
     double slowness = 1;
     double refusalShare = 0;
+    bool resetting = false;
     struct arrival {
         monotonic_time at;
         std::size_t instance = 0;
@@ -230,6 +233,16 @@
     m_endpoints[endpoint]->refusalShare = share;
 }
 
+void permit_simulation::setResetting(std::size_t endpoint, bool resetting)
+{
+    m_endpoints[endpoint]->resetting = resetting;
+}
+
+std::size_t permit_simulation::arrivedAt(std::size_t endpoint) const
+{
+    return m_endpoints[endpoint]->arrivals.size();
+}
+
 void permit_simulation::setRequestLimit(std::size_t endpoint, std::optional<request_rate> limit)
 {
     m_endpoints[endpoint]->requestLimit = limit;
@@ -347,7 +360,7 @@
     request.priority = drawPriority(m_random);
     request.instance = index;
     request.arrived = m_now;
-    request.work = std::chrono::duration_cast<time_span>(m_settings.work * std::lognormal_distribution<double>(-0.1, 0.45)(m_random));
+    request.work = std::chrono::duration_cast<time_span>(m_settings.work * std::lognormal_distribution<double>(m_settings.workLogMean, m_settings.workLogDeviation)(m_random));
     m_requests.push_back(request);
     gateway_request message;
     message.id = request_id(std::to_string(number));
@@ -389,6 +402,12 @@
 {
     simulated_endpoint &endpoint = *m_endpoints[index];
     endpoint.arrivals.push_back({ m_now, instance });
+    if (endpoint.resetting) {
+        endpoint_reply reset;
+        reset.code = result_code::server_connection_lost;
+        reply(instance, attempt, index, reset);
+        return;
+    }
     const bool refuses = std::uniform_real_distribution<double>(0, 1)(m_random) < endpoint.refusalShare;
     if (refuses) {
         endpoint_reply refused;
@@ -396,7 +415,7 @@
         refused.code = result_code::refused_by_server;
         refused.response.status = 503;
         refused.requestLimit = endpoint.requestLimit;
-        refused.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+        refused.load = loadOf(index);
         reply(instance, attempt, index, refused);
         return;
     }
@@ -418,12 +437,45 @@
         ++endpoint.running;
         ++m_requests[next.request].runs;
         const auto work = std::chrono::duration_cast<time_span>(m_requests[next.request].work * endpoint.slowness);
-        schedule(m_now + work, [this, index, run = next.run] {
+        schedule(endOfWork(index, work), [this, index, run = next.run] {
             finish(index, run);
         });
     }
 }
 
+bool permit_simulation::isInSlowInterval(std::size_t endpoint, monotonic_time when) const
+{
+    // The intervals of the endpoints begin at different times.
+    const auto shifted = when.time_since_epoch() + slowIntervalLength * static_cast<std::int64_t>(endpoint) / 7;
+    const auto interval = static_cast<std::uint64_t>(shifted / slowIntervalLength);
+    std::minstd_rand random(static_cast<std::uint32_t>(interval * 7919 + endpoint * 104729 + m_settings.seed));
+    random.discard(3);
+    return std::uniform_real_distribution<double>(0, 1)(random) < m_settings.slowIntervalShare;
+}
+
+monotonic_time permit_simulation::endOfWork(std::size_t endpoint, time_span work) const
+{
+    if (m_settings.slowIntervalShare == 0) {
+        return m_now + work;
+    }
+    constexpr time_span step = std::chrono::milliseconds(5);
+    monotonic_time end = m_now;
+    for (time_span done{}; done < work; end += step) {
+        done += isInSlowInterval(endpoint, end) ? std::chrono::duration_cast<time_span>(step / slowIntervalFactor) : step;
+    }
+    return end;
+}
+
+endpoint_load permit_simulation::loadOf(std::size_t index) const
+{
+    const simulated_endpoint &endpoint = *m_endpoints[index];
+    endpoint_load load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+    if (m_settings.slowIntervalShare > 0) {
+        load.runTimePercent = isInSlowInterval(index, m_now) ? static_cast<std::uint32_t>(100 * slowIntervalFactor) : 100;
+    }
+    return load;
+}
+
 void permit_simulation::finish(std::size_t index, std::uint64_t run)
 {
     simulated_endpoint &endpoint = *m_endpoints[index];
@@ -438,7 +490,7 @@
     endpoint_reply answer;
     answer.kind = reply_kind::answered;
     answer.response.status = 200;
-    answer.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+    answer.load = loadOf(index);
     answer.requestLimit = endpoint.requestLimit;
     reply(ended.instance, ended.id, index, answer);
 }
--- a/tests/unit/permits/permit_simulation.h
+++ b/tests/unit/permits/permit_simulation.h
@@ -32,6 +32,11 @@
     std::uint32_t slots = 2;
     std::uint32_t queue = 8;
     time_span work = std::chrono::milliseconds(260);
+    /** Parameters of the lognormal distribution of the work of requests, as a multiple of #work. */
+    double workLogMean = -0.1;
+    double workLogDeviation = 0.45;
+    /** Share of the intervals of 0.4 s in which an endpoint is three times slower, which it then reports; it reports no speed if 0. */
+    double slowIntervalShare = 0;
     time_span latencyTarget = std::chrono::milliseconds(800);
     time_span timeout = std::chrono::milliseconds(1500);
     /** Share of the messages between instances that are lost. */
@@ -79,6 +84,10 @@
     void setSlowness(std::size_t endpoint, double slowness);
     /** Sets the share of the requests that the endpoint refuses although it has free worker slots. */
     void setRefusalShare(std::size_t endpoint, double share);
+    /** Sets whether the endpoint resets the connection of each request. */
+    void setResetting(std::size_t endpoint, bool resetting);
+    /** Returns the number of requests that reached the endpoint. */
+    std::size_t arrivedAt(std::size_t endpoint) const;
     /** The endpoint names this request limit in its responses from now on, or none. It runs what it gets all the same. */
     void setRequestLimit(std::size_t endpoint, std::optional<request_rate> limit);
     /**
@@ -134,6 +143,10 @@
     void publish(simulated_instance &instance);
     void requestArrived(std::size_t request, std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint);
     void startNext(std::size_t endpoint);
+    bool isInSlowInterval(std::size_t endpoint, monotonic_time when) const;
+    /** Returns when @p work that starts now ends at the endpoint. */
+    monotonic_time endOfWork(std::size_t endpoint, time_span work) const;
+    endpoint_load loadOf(std::size_t endpoint) const;
     void finish(std::size_t endpoint, std::uint64_t run);
     void reply(std::size_t instance, endpoint_attempt_id attempt, std::size_t endpoint, const endpoint_reply &reply);
     void abort(std::size_t instance, endpoint_attempt_id attempt);
--- /dev/null
+++ b/tests/unit/permits/uneven_endpoints_test.cpp
@@ -0,0 +1,96 @@
+#include "permit_simulation.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+using namespace sycamoretray;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Mean work of a request, with a median of 170 ms.
+constexpr time_span meanWork = 240ms;
+constexpr std::uint32_t slots = 6;
+
+simulation_settings unevenSettings(std::size_t endpoints)
+{
+    simulation_settings settings;
+    settings.dividedByKey = false;
+    settings.endpoints = endpoints;
+    settings.slots = slots;
+    settings.work = meanWork;
+    settings.workLogMean = -0.345;
+    settings.workLogDeviation = 0.83;
+    settings.latencyTarget = 500ms;
+    settings.timeout = 2500ms;
+    return settings;
+}
+
+/** Worker slots of typical speed that run @p share of the time, as requests a second. */
+double requestsPerSecond(std::size_t endpoints, double share)
+{
+    return static_cast<double>(endpoints * slots) / std::chrono::duration<double>(meanWork).count() * share;
+}
+
+} // namespace
+
+// Load pattern: 3 of 34 endpoints reset each request for 8 s, at half of the capacity. Guards against endpoints that get several times
+// their share of the requests because they look idle and fast.
+Test(uneven_endpoints, endpoints_that_reset_each_request_get_few)
+{
+    constexpr std::size_t endpoints = 34;
+    permit_simulation simulation(unevenSettings(endpoints));
+    simulation.perSecond = [](time_span) {
+        return requestsPerSecond(endpoints, 0.5);
+    };
+    simulation.runArrivals(2s);
+    std::size_t before[endpoints];
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        before[i] = simulation.arrivedAt(i);
+        simulation.setResetting(i, i < 3);
+    }
+    simulation.runArrivals(8s);
+    std::size_t fewest = std::numeric_limits<std::size_t>::max();
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        const std::size_t arrived = simulation.arrivedAt(i) - before[i];
+        if (i < 3) {
+            cr_expect(arrived <= 12, "%zu requests at the failing endpoint %zu", arrived, i);
+        } else {
+            fewest = std::min(fewest, arrived);
+            most = std::max(most, arrived);
+        }
+    }
+    cr_expect(most < 2 * fewest, "%zu to %zu requests at the others", fewest, most);
+    simulation.runToEnd();
+    cr_expect(simulation.result().unknown <= 36, "%zu unknown", simulation.result().unknown);
+}
+
+// Load pattern: endpoints of speeds 0.5, 1, 1 and 1.5 at two thirds of the capacity, each three times slower in a fifth of all intervals
+// of 0.4 s. Guards against requests that are late because the speed of an endpoint, lasting or momentary, is not used.
+Test(uneven_endpoints, requests_go_where_they_are_answered_in_time)
+{
+    constexpr std::size_t endpoints = 32;
+    simulation_settings settings = unevenSettings(endpoints);
+    settings.slowIntervalShare = 0.2;
+    permit_simulation simulation(settings);
+    const std::array<double, 4> speeds{ 0.5, 1, 1, 1.5 };
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        simulation.setSlowness(i, 1 / speeds[i % speeds.size()]);
+    }
+    // In a fifth of the time, the endpoints run at a third of their speed.
+    simulation.perSecond = [](time_span) {
+        return requestsPerSecond(endpoints, 2.0 / 3 * (0.8 + 0.2 / 3));
+    };
+    simulation.runArrivals(30s);
+    simulation.runToEnd();
+    const simulation_result all = simulation.result();
+    const double late = static_cast<double>(all.late) / static_cast<double>(all.withinLatencyTarget + all.late);
+    const double served = static_cast<double>(all.withinLatencyTarget + all.late) / static_cast<double>(all.submitted);
+    cr_expect(late < 0.15, "%.3f late", late);
+    cr_expect(served > 0.99, "%.3f served, %zu refused, %zu unknown", served, all.refused, all.unknown);
+}
