Choose endpoints by momentary and lasting speed, and eject those that fail

Cause: the fourth figure of Instance-Load was discarded; an endpoint that resets requests looks idle and fast; an endpoint that was found slow by chance was not measured again; a zone whose free endpoints are all slow let requests wait instead of sending them to other zones. Change: new library endpoint_speed with momentary_speed and failure_detector, used by endpoint_limiter, permit_pool and the gateway's own choice of endpoints.

--- a/libs/gateway/detail/gateway_impl.h
+++ b/libs/gateway/detail/gateway_impl.h
@@ -115,6 +115,10 @@
 
     // Outcomes of attempts and answers to callers. Defined in gateway_replies.cpp.
     void replied(endpoint_attempt_id attempt, endpoint_reply reply, monotonic_time now);
+    /** Records what an attempt without a permit shows about an endpoint of a service that is not divided by key. */
+    void recordOutcome(const unanswered_request &pending, attempt_outcome outcome, monotonic_time now);
+    /** Returns whether the attempt in flight had far more than its typical run time, until the deadline of the request. */
+    bool hasTimedOut(const unanswered_request &pending, monotonic_time now) const;
     void logPause(const endpoint_incarnation &endpoint, const endpoint_reply &reply) const;
     void recordReply(const unanswered_request &pending, const endpoint_reply &reply, monotonic_time now);
     /** Logs a change of the endpoint's request limit. If it had none before, the requests queued for it need permits from now on. */
--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -94,6 +94,12 @@
             endpointsOfService[service].push_back(endpoint.entry.incarnation);
         }
     }
+    std::erase_if(failures, [&](const auto &item) {
+        return !endpointsOfService.contains(item.first);
+    });
+    for (const auto &[service, incarnations] : endpointsOfService) {
+        failures[service].setEndpoints(incarnations);
+    }
     orderZones();
     removeUnlisted();
 }
@@ -171,6 +177,9 @@
             first = std::min(first, tracked->limiter.blockedUntil());
         }
     }
+    if (const auto found = failures.find(queueId.service); !queueId.endpoint && found != failures.end()) {
+        first = std::min(first, found->second.nextTrial(now));
+    }
     if (first != monotonic_time::max()) {
         queueTimers.insert(queueId);
         timers.emplace(first, timer{ {}, queueId });
@@ -190,6 +199,7 @@
                               { "in_flight", tracked.limiter.inFlight() },
                               { "load", tracked.limiter.estimatedLoad(now) },
                               { "slowness", tracked.limiter.slowness() },
+                              { "momentary_slowness", tracked.limiter.momentarySlowness(now) },
                               { "request_limit", limit ? nlohmann::json(limit->value()) : nlohmann::json() } });
     }
     const nlohmann::json document = { { "config_version", routes ? nlohmann::json(routes->version()) : nlohmann::json() },
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -140,6 +140,8 @@
     monotonic_time ownershipSince{};
     std::map<endpoint_incarnation, tracked_endpoint> trackedEndpoints;
     std::map<service_id, std::vector<endpoint_incarnation>> endpointsOfService;
+    /** Failures of the endpoints of each service, for services that are not divided by key. */
+    std::map<service_id, failure_detector> failures;
     std::map<gateway_request_id, std::unique_ptr<unanswered_request>> requests;
     std::map<endpoint_attempt_id, gateway_request_id> attempts;
     std::map<queue_id, std::set<queue_position>> queues;
--- a/libs/gateway/endpoint_limiter.cpp
+++ b/libs/gateway/endpoint_limiter.cpp
@@ -174,6 +174,11 @@
     return knownSlowness() * coldFactor(now);
 }
 
+double endpoint_limiter::momentarySlowness(monotonic_time now) const noexcept
+{
+    return m_momentarySpeed.slowness(now);
+}
+
 double endpoint_limiter::currentSlowness(monotonic_time now) const noexcept
 {
     return slowness() * coldFactor(now);
@@ -187,7 +192,7 @@
 
 time_span endpoint_limiter::expectedTime(time_span typicalRunTime, monotonic_time now) const noexcept
 {
-    return std::chrono::duration_cast<time_span>(typicalRunTime * (currentSlowness(now) * queueFactor(now)));
+    return std::chrono::duration_cast<time_span>(typicalRunTime * (currentSlowness(now) * momentarySlowness(now) * queueFactor(now)));
 }
 
 void endpoint_limiter::sent(monotonic_time now)
@@ -215,6 +220,8 @@
     const bool waited = m_use == sender_mode::one_of_many_senders && m_loadReport.waiting > 0;
     // The time of a request that may have waited at the endpoint is an upper bound of its run time, so it is used only if it is low.
     double ratio = static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, typicalRunTime.count()));
+    // A slow interval must not make the endpoint look slow for seconds.
+    ratio /= m_momentarySpeed.slownessDuring(now - taken, now);
     if (m_use == sender_mode::sole_sender) {
         ratio = std::min(ratio, m_slowness * maxSampleFactor);
     }
@@ -257,6 +264,13 @@
     }
 }
 
+void endpoint_limiter::forgetSlowness(double share) noexcept
+{
+    if (m_inFlight == 0) {
+        m_slowness += share * (1 - m_slowness);
+    }
+}
+
 void endpoint_limiter::countOutcome(bool failure)
 {
     m_failureShare += outcomeWeight * ((failure ? 1 : 0) - m_failureShare);
@@ -274,10 +288,24 @@
 {
     if (reply.load && !reply.misdirected) {
         m_loadReport = *reply.load;
+        if (reply.load->runTimePercent) {
+            m_momentarySpeed.record(*reply.load->runTimePercent, now);
+        }
         m_ownInLoadReport = m_inFlight;
         m_loadReportedAt = now;
         m_inFlightChangeSinceReport = 0;
     }
 }
 
+attempt_outcome outcomeOf(const endpoint_reply &reply) noexcept
+{
+    if (reply.kind == reply_kind::answered) {
+        return reply.response.status >= 500 ? attempt_outcome::server_error : attempt_outcome::succeeded;
+    }
+    if (reply.kind == reply_kind::failed || !reply.sent || reply.misdirected) {
+        return attempt_outcome::no_response;
+    }
+    return refusedDespiteFreeSlots(reply) ? attempt_outcome::refused_with_free_slots : attempt_outcome::refused_when_full;
+}
+
 } // namespace sycamoretray
--- a/libs/gateway/endpoint_limiter.h
+++ b/libs/gateway/endpoint_limiter.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "directory/endpoint_directory.h"
+#include "endpoint_speed/failure_detector.h"
+#include "endpoint_speed/momentary_speed.h"
 #include "gateway/endpoint_request_limit.h"
 #include "gateway/gateway_request.h"
 
@@ -75,12 +77,15 @@
     /** Estimated number of requests at the endpoint, including those of other instances. */
     double estimatedLoad(monotonic_time now) const noexcept;
 
-    /** Ratio of the time to an answer, retries included, to the typical run time. */
+    /** Lasting ratio of the time to an answer, retries included, to the typical run time. */
     double slowness() const noexcept;
 
-    /** Ratio of the current run time to the typical run time, without retries. */
+    /** Lasting ratio of the run time to the typical run time, without retries. */
     double runSlowness(monotonic_time now) const noexcept;
 
+    /** Ratio of the run time at this moment to the lasting one, as the endpoint reports it; 1 if it does not. */
+    double momentarySlowness(monotonic_time now) const noexcept;
+
     /** Like slowness(), but higher while the endpoint is cold after its start. */
     double currentSlowness(monotonic_time now) const noexcept;
 
@@ -106,6 +111,12 @@
     /** Records that a request was aborted. @param ran  time that a worker slot is known to have spent on it, or zero */
     void aborted(time_span ran, time_span typicalRunTime);
 
+    /**
+     * Moves the learned slowness by @p share of the way to that of a typical endpoint, unless a request in flight will show it. Without this, an
+     * estimate that is too high by chance lasts, because an endpoint that is not chosen is not measured.
+     */
+    void forgetSlowness(double share) noexcept;
+
 private:
     double knownSlowness() const noexcept;
     double coldFactor(monotonic_time now) const noexcept;
@@ -129,6 +140,7 @@
     double m_slowness = 1;
     /** Share of failed requests, as an exponential moving average. */
     double m_failureShare = 0;
+    momentary_speed m_momentarySpeed;
     endpoint_load m_loadReport;
     /** Requests of this instance that m_loadReport includes. */
     std::uint32_t m_ownInLoadReport = 0;
@@ -137,4 +149,7 @@
     int m_inFlightChangeSinceReport = 0;
 };
 
+/** Returns what the outcome of an attempt shows about the endpoint. Thread-safe. */
+attempt_outcome outcomeOf(const endpoint_reply &reply) noexcept;
+
 } // namespace sycamoretray
--- a/libs/gateway/gateway.cpp
+++ b/libs/gateway/gateway.cpp
@@ -405,6 +405,15 @@
     }));
 }
 
+std::size_t gateway::ejectedEndpoints() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto &[service, detector] : d->failures) {
+        count += detector.ejected();
+    }
+    return count;
+}
+
 std::string gateway::dump(monotonic_time now) const
 {
     return d->dump(now);
--- a/libs/gateway/gateway.h
+++ b/libs/gateway/gateway.h
@@ -188,6 +188,9 @@
     /** Number of endpoints that name a request limit at present. */
     std::size_t limitedEndpoints() const noexcept;
 
+    /** Number of endpoints that this instance ejected because of failures of requests that it sent without a permit. */
+    std::size_t ejectedEndpoints() const noexcept;
+
     /** Returns the state as JSON. */
     std::string dump(monotonic_time now) const;
 
--- a/libs/gateway/gateway_permits.cpp
+++ b/libs/gateway/gateway_permits.cpp
@@ -36,6 +36,7 @@
     permitRequest.priority = pending.route.priority;
     permitRequest.typicalRunTime = runTimes.of(pending.route);
     permitRequest.maxAnswerTime = answerTimeLimit(pending, permitTargetFactor, now);
+    permitRequest.idempotent = pending.route.idempotent;
     permitRequest.triedEndpoints.assign(pending.triedEndpoints.begin(), pending.triedEndpoints.end());
     if (!pending.byKey && !chooseZone(pending, permitRequest)) {
         return false;
@@ -192,7 +193,7 @@
 
 permit_result gateway::impl::permitResult(const endpoint_reply &reply)
 {
-    return { true, reply.kind, reply.sent, reply.misdirected, reply.response.status, reply.load, reply.requestLimit };
+    return { true, reply.kind, reply.sent, reply.misdirected, reply.response.status, reply.load, reply.requestLimit, false };
 }
 
 } // namespace sycamoretray
--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -28,6 +28,10 @@
     unanswered_request &pending = *requests.at(found->second);
     attempts.erase(found);
     const endpoint_incarnation endpoint = pending.endpoint;
+    if (!pending.permit) {
+        const bool counts = hasResponse(reply) || !isPathDoubtful(pending);
+        recordOutcome(pending, counts ? outcomeOf(reply) : attempt_outcome::inconclusive, now);
+    }
     returnPermit(pending, hasResponse(reply) ? permitResult(reply) : lostAttemptResult(pending, permitResult(reply)), now);
     if (reply.leaving && endpointLeaves) {
         endpointLeaves(endpoint);
@@ -51,6 +55,26 @@
     removeUnlisted();
 }
 
+void gateway::impl::recordOutcome(const unanswered_request &pending, attempt_outcome outcome, monotonic_time now)
+{
+    const auto found = failures.find(pending.service);
+    if (pending.byKey || found == failures.end()) {
+        return;
+    }
+    // All attempts are those of this instance, so that it needs no name.
+    found->second.ended(pending.endpoint, { network_address(), pending.sentAt }, outcome, now);
+    for (const ejection_change &change : found->second.takeChanges()) {
+        log(change.ejected ? "endpoint_ejected" : "endpoint_readmitted", ejectionFields(change));
+    }
+}
+
+bool gateway::impl::hasTimedOut(const unanswered_request &pending, monotonic_time now) const
+{
+    // Run times vary by about this factor.
+    constexpr int overlongFactor = 3;
+    return now >= pending.deadline && now - pending.sentAt >= runTimes.of(pending.route) * overlongFactor;
+}
+
 void gateway::impl::logPause(const endpoint_incarnation &endpoint, const endpoint_reply &reply) const
 {
     if (reply.pauseUnreadable) {
@@ -241,7 +265,13 @@
 
 void gateway::impl::abortAttempt(unanswered_request &pending, monotonic_time now)
 {
-    returnPermit(pending, lostAttemptResult(pending, {}), now);
+    permit_result result;
+    result.timedOut = hasTimedOut(pending, now);
+    if (!pending.permit) {
+        const bool timedOut = result.timedOut && !isPathDoubtful(pending);
+        recordOutcome(pending, timedOut ? attempt_outcome::timed_out : attempt_outcome::inconclusive, now);
+    }
+    returnPermit(pending, lostAttemptResult(pending, result), now);
     attempts.erase(pending.attempt);
     port.abort(pending.attempt);
     if (detail::tracked_endpoint *tracked = findEndpoint(pending.endpoint)) {
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -126,11 +126,18 @@
     detail::tracked_endpoint *best = nullptr;
     time_span bestCost{};
     const time_span typicalRunTime = runTimes.of(pending.route);
+    const failure_detector *detector = pending.byKey ? nullptr : &failures[pending.service];
     for (detail::tracked_endpoint *tracked : endpointsOf(queueId)) {
         const bool usable = pending.byKey ? acceptsKeyedRequests(*tracked, now) && tracked->limiter.hasCapacity(now) : tracked->limiter.takesNewWork(now);
         if (!usable) {
             continue;
         }
+        if (detector != nullptr && detector->isEjected(tracked->limiter.entry().incarnation)) {
+            if (pending.triedEndpoints.empty() && detector->isTrialDue(tracked->limiter.entry().incarnation, pending.route.idempotent, now)) {
+                return tracked;
+            }
+            continue;
+        }
         time_span cost = tracked->limiter.expectedTime(typicalRunTime, now);
         if (tracked->limiter.entry().zone != settings.zone) {
             cost += std::chrono::duration_cast<time_span>(typicalRunTime * otherZonePenaltyFactor);
@@ -166,6 +173,9 @@
     pending.triedEndpoints.insert(pending.endpoint.endpoint);
     attempts.emplace(pending.attempt, pending.id);
     tracked.limiter.sent(now);
+    if (const auto found = failures.find(pending.service); found != failures.end() && !pending.byKey && !pending.permit) {
+        found->second.sent(pending.endpoint);
+    }
     recordLimitedSend(pending, tracked.limiter);
     port.send(pending.attempt, tracked.limiter.entry(), pending.request, attemptDeadline(pending) - now);
 }
--- a/libs/gateway/permit_source.h
+++ b/libs/gateway/permit_source.h
@@ -36,6 +36,8 @@
      * Identifies the caller's request, the same for its first try and its retries at any instance; nothing if the sender does not state it.
      */
     std::optional<request_fingerprint> fingerprint;
+    /** The request may run twice, so that a failed attempt can be repeated. */
+    bool idempotent = false;
     /** Endpoints that were tried before; used only if there is no other. */
     std::vector<endpoint_id> triedEndpoints;
     /** An endpoint that may be used names a request limit, which the instances can keep only together. Not passed to the coordinator. */
@@ -58,6 +60,8 @@
     std::optional<endpoint_load> load;
     /** Request limit that the endpoint named in its response. */
     std::optional<request_rate> requestLimit;
+    /** The attempt was aborted because there was no answer for far longer than is typical, until the time of the request was over. */
+    bool timedOut = false;
 };
 
 /**
--- a/libs/permits/permit_coordinator.cpp
+++ b/libs/permits/permit_coordinator.cpp
@@ -24,8 +24,9 @@
     return std::tie(left.owner, left.service, left.zone) < std::tie(right.owner, right.service, right.zone);
 }
 
-permit_coordinator::permit_coordinator(permit_port &port)
+permit_coordinator::permit_coordinator(permit_port &port, permit_log log)
     : m_port(port)
+    , m_log(std::move(log))
 {
 }
 
@@ -140,6 +141,16 @@
             m_port.send(refused.holder.instance, permit_refusal{ refused.holder.id, refused.retryAfter });
         }
     }
+    logEjections(pool);
+}
+
+void permit_coordinator::logEjections(permit_pool &pool) const
+{
+    for (const ejection_change &change : pool.takeEjectionChanges()) {
+        if (m_log) {
+            m_log(change.ejected ? "endpoint_ejected" : "endpoint_readmitted", ejectionFields(change));
+        }
+    }
 }
 
 void permit_coordinator::resign()
@@ -185,6 +196,15 @@
     return count;
 }
 
+std::size_t permit_coordinator::ejectedEndpoints() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto &[name, pool] : m_pools) {
+        count += pool.ejected();
+    }
+    return count;
+}
+
 std::size_t permit_coordinator::inUse() const noexcept
 {
     std::size_t count = 0;
--- a/libs/permits/permit_coordinator.h
+++ b/libs/permits/permit_coordinator.h
@@ -5,10 +5,14 @@
 #include "permits/permit_pool.h"
 
 #include <compare>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace sycamoretray
 {
@@ -26,6 +30,9 @@
     friend bool operator<(const permit_pool_name &left, const permit_pool_name &right) noexcept;
 };
 
+/** Receives decisions about the endpoints of queues for the event log. */
+using permit_log = std::function<void(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)>;
+
 /**
  * Permit coordinator: holds the queues for which other instances request permits from this one, and grants the permits.
  *
@@ -37,7 +44,7 @@
 class permit_coordinator
 {
 public:
-    explicit permit_coordinator(permit_port &port);
+    explicit permit_coordinator(permit_port &port, permit_log log = nullptr);
 
     void setEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints, monotonic_time now);
 
@@ -54,6 +61,9 @@
     std::size_t waiting() const noexcept;
     std::size_t inUse() const noexcept;
 
+    /** Number of endpoints that are ejected from the queues because of failures. */
+    std::size_t ejectedEndpoints() const noexcept;
+
 private:
     void handleRequest(const network_address &from, const permit_request &request, monotonic_time now);
     void handleReturn(const network_address &from, const permit_return &message, monotonic_time now);
@@ -61,10 +71,12 @@
     permit_pool *findOrCreatePool(const permit_pool_name &name);
     void updateEndpoints(const permit_pool_name &name, permit_pool &pool) const;
     void decide(const permit_pool_name &name, monotonic_time now);
+    void logEjections(permit_pool &pool) const;
     /** Removes expired permits, and pools without endpoints and permits. */
     void removeExpired();
 
     permit_port &m_port;
+    permit_log m_log;
     bool m_resigned = false;
     std::map<endpoint_id, listed_endpoint> m_endpoints;
     std::map<permit_pool_name, permit_pool> m_pools;
--- a/libs/permits/permit_message.cpp
+++ b/libs/permits/permit_message.cpp
@@ -46,9 +46,8 @@
     result.push_back(std::move(tried));
     result.push_back(request.ownerLimit ? json::array({ request.ownerLimit->rate.value(), request.ownerLimit->age.count() }) : json());
     result.push_back(static_cast<int>(request.role));
-    if (request.fingerprint) {
-        result.push_back(request.fingerprint->value());
-    }
+    result.push_back(request.fingerprint ? json(request.fingerprint->value()) : json());
+    result.push_back(request.idempotent);
     return result;
 }
 
@@ -72,6 +71,7 @@
     encoded.push_back(result.status);
     encoded.push_back(result.load ? encodeLoad(*result.load) : json());
     encoded.push_back(result.requestLimit ? json(result.requestLimit->value()) : json());
+    encoded.push_back(result.timedOut);
     return encoded;
 }
 
@@ -156,11 +156,15 @@
         request.ownerLimit = decodeKnownLimit(limit);
     }
     request.role = decodeLimitRole(message.at(11).get<int>());
-    // Instances of earlier versions leave it out.
+    // Instances of earlier versions leave out the last elements.
     constexpr std::size_t fingerprintIndex = 12;
-    if (message.size() > fingerprintIndex) {
+    constexpr std::size_t idempotentIndex = 13;
+    if (message.size() > fingerprintIndex && !message.at(fingerprintIndex).is_null()) {
         request.fingerprint = request_fingerprint(message.at(fingerprintIndex).get<std::uint64_t>());
     }
+    if (message.size() > idempotentIndex) {
+        request.idempotent = message.at(idempotentIndex).get<bool>();
+    }
     return { request };
 }
 
@@ -199,6 +203,11 @@
     if (const json &limit = message.at(8); !limit.is_null()) {
         result.result.requestLimit = decodeRate(limit);
     }
+    // Instances of earlier versions leave it out.
+    constexpr std::size_t timedOutIndex = 9;
+    if (message.size() > timedOutIndex) {
+        result.result.timedOut = message.at(timedOutIndex).get<bool>();
+    }
     return result;
 }
 
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -59,6 +59,13 @@
     std::erase_if(m_endpoints, [](const auto &item) {
         return !item.second.limiter.isListed() && item.second.used.empty();
     });
+    std::vector<endpoint_incarnation> listed;
+    for (const auto &[incarnation, endpoint] : m_endpoints) {
+        if (endpoint.limiter.isListed()) {
+            listed.push_back(incarnation);
+        }
+    }
+    m_failures.setEndpoints(listed);
 }
 
 bool permit_pool::hasEndpoints() const noexcept
@@ -138,6 +145,7 @@
         endpoint.recordResponse(holder.instance, now);
     }
     const bool pathOfSenderLost = result.finished && !result.sent && endpoint.respondsToOthers(holder.instance, now);
+    recordOutcome(holder, used, result, reply, pathOfSenderLost, now);
     if (pathOfSenderLost) {
         endpoint.limiter.aborted(time_span::zero(), used.typicalRunTime);
     } else if (!result.finished) {
@@ -188,29 +196,30 @@
 {
     const endpoint_incarnation &incarnation = endpoint.limiter.entry().incarnation;
     const time_span typicalRunTime = entry.request.typicalRunTime;
-    m_used[entry.holder] = { incarnation, typicalRunTime, std::nullopt, now + std::max(minExpiry, typicalRunTime * expiryInTypicalRunTimes) };
+    m_used[entry.holder] = { incarnation, typicalRunTime, now, std::nullopt, now + std::max(minExpiry, typicalRunTime * expiryInTypicalRunTimes) };
     endpoint.used.push_back(entry.holder);
     endpoint.limiter.sent(now);
+    m_failures.sent(incarnation);
     markRunning(endpoint, now);
     return { entry.holder, incarnation };
 }
 
 permit_pool::pool_endpoint *permit_pool::chooseEndpoint(const permit_request &request, monotonic_time now)
 {
+    if (pool_endpoint *trial = chooseForTrial(request, now)) {
+        return trial;
+    }
     pool_endpoint *best = nullptr;
     double bestTime = 0;
     for (auto &[incarnation, endpoint] : m_endpoints) {
-        const bool usable = endpoint.limiter.isListed() && (request.owner || !endpoint.limiter.entry().draining) && endpoint.limiter.hasCapacity(now);
-        if (!usable) {
+        if (!isUsable(endpoint, request, now) || m_failures.isEjected(incarnation)) {
             continue;
         }
-        const double queueFactor = endpoint.limiter.queueFactor(now);
-        const double slow = slowness(endpoint, now);
         // An endpoint that is too slow gets one request at a time, which shows whether it has become fast enough.
-        if (request.typicalRunTime * (slow * queueFactor) > request.maxAnswerTime && !endpoint.used.empty()) {
+        if (isTooSlow(endpoint, request, now) && !endpoint.used.empty()) {
             continue;
         }
-        double time = std::max(slow, endpoint.limiter.currentSlowness(now)) * queueFactor;
+        double time = comparedTime(endpoint, now);
         if (std::find(request.triedEndpoints.begin(), request.triedEndpoints.end(), incarnation.endpoint) != request.triedEndpoints.end()) {
             time *= triedEndpointPenalty;
         }
@@ -294,7 +303,7 @@
         const time_span typicalRunTime = entry.request.typicalRunTime;
         const time_span wait = expectedWait(present, requestsAhead, typicalRunTime, now);
         const auto work = std::chrono::duration_cast<time_span>(typicalRunTime * present.lowestSlowness);
-        if (now + wait + work > entry.usefulUntil) {
+        if (now + wait + work > entry.usefulUntil || hasOnlySlowEndpoints(entry.request, now)) {
             expectedLate.emplace_back(ticket, wait);
         } else {
             ++requestsAhead;
@@ -354,7 +363,7 @@
             next = std::min(next, endpoint.limiter.blockedUntil());
         }
     }
-    return next;
+    return std::min(next, m_failures.nextTrial(now));
 }
 
 bool permit_pool::isIdle() const noexcept
--- a/libs/permits/permit_pool.h
+++ b/libs/permits/permit_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/endpoint_directory.h"
+#include "endpoint_speed/failure_detector.h"
 #include "gateway/endpoint_limiter.h"
 #include "gateway/permit_source.h"
 #include "permits/permit_queue.h"
@@ -79,6 +80,12 @@
     /** Time at which decide() has to be called if no other event occurs; monotonic_time::max() if never. */
     monotonic_time nextDue(monotonic_time now) const;
 
+    /** Returns the ejections and readmissions of endpoints since the last call. */
+    std::vector<ejection_change> takeEjectionChanges();
+
+    /** Number of endpoints that are ejected because of failures. */
+    std::size_t ejected() const noexcept;
+
     bool isIdle() const noexcept;
     std::size_t waiting() const noexcept;
     std::size_t inUse() const noexcept;
@@ -93,6 +100,7 @@
     struct used_permit {
         endpoint_incarnation endpoint;
         time_span typicalRunTime{};
+        monotonic_time granted{};
         /** Estimated time at which a worker slot started to run the request. */
         std::optional<monotonic_time> started;
         /** Time at which the permit counts as lost. */
@@ -137,6 +145,17 @@
     /** Applies what the requesting instance knows: the role of this coordinator, and the request limit of the owner. */
     void updateLimits(const permit_request &request, monotonic_time now);
     pool_endpoint *chooseEndpoint(const permit_request &request, monotonic_time now);
+    /** Returns an ejected endpoint that is to get this request as its trial, or nullptr. */
+    pool_endpoint *chooseForTrial(const permit_request &request, monotonic_time now);
+    static bool isUsable(const pool_endpoint &endpoint, const permit_request &request, monotonic_time now);
+    /** Expected time to the answer as a multiple of the typical run time, for a comparison of the endpoints of a service. */
+    double comparedTime(const pool_endpoint &endpoint, monotonic_time now) const;
+    /** Returns whether the answer is expected too late at the endpoint. */
+    bool isTooSlow(const pool_endpoint &endpoint, const permit_request &request, monotonic_time now) const;
+    /** Returns whether a request that can wait in other zones is refused, as all endpoints with free worker slots are too slow for it. */
+    bool hasOnlySlowEndpoints(const permit_request &request, monotonic_time now) const;
+    /** Records what an attempt shows about the endpoint. */
+    void recordOutcome(const permit_holder &holder, const used_permit &used, const permit_result &result, const endpoint_reply &reply, bool pathLost, monotonic_time now);
     granted_permit grant(pool_endpoint &endpoint, const waiting_entry &entry, monotonic_time now);
     /** Sets the start time of the requests that have got a worker slot. */
     void markRunning(pool_endpoint &endpoint, monotonic_time now);
@@ -149,6 +168,8 @@
     void refuseExpectedLate(std::vector<permit_decision> &decisions, monotonic_time now);
 
     std::map<endpoint_incarnation, pool_endpoint> m_endpoints;
+    /** Ejects no endpoint of the queue of an owner of keys, which has only one. */
+    failure_detector m_failures;
     permit_queue m_queue;
     std::map<queue_ticket, waiting_entry> m_waiting;
     std::map<permit_holder, queue_ticket> m_tickets;
