Count ejected endpoints as no capacity, use equal endpoints evenly, report ejections

Cause: estimates of the slowness vary by chance by about 0.3, so that equal endpoints in a queue got 13 to 196 requests in 8 s; ejected endpoints still counted in the expected wait; ejections were not shown. Change: estimates within a factor of 1.4 of the typical one count as equal, busy worker slots decide among them; permit_coordinator has a callback for events; events endpoint_ejected and endpoint_readmitted, counter and gauge.

--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -125,6 +125,8 @@
     void runMaintenance();
     void reportLoad();
     void reportCrashes();
+    /** Logs and counts a decision about requests or endpoints. */
+    void logDecision(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields);
     void logStoreCalls();
     void logLimitedEndpointLoads();
     std::string dump();
@@ -178,8 +180,7 @@
     , router(gatewaySettings(settings),
              endpoints,
              [this](std::string_view event, const auto &fields) {
-                 metrics.counter("sycamoretray_router_events_total{event=\"" + std::string(event) + "\"}").add();
-                 logEvent(event, fields);
+                 logDecision(event, fields);
              })
     , feeds(relayedStore, topicRelay, executor, feedObserver())
     , stopClient(executor)
@@ -209,7 +210,10 @@
           [this](const endpoint_incarnation &incarnation) {
               return zoneOf(incarnation);
           },
-          permitObserver())
+          permitObserver(),
+          [this](std::string_view event, const auto &fields) {
+              logDecision(event, fields);
+          })
     , instancePublisher(store, settings.zone, { settings.internalAddress, settings.processorShare })
     , internalApi(context,
                   executor,
@@ -296,6 +300,9 @@
     metrics.gauge("sycamoretray_limited_endpoints", [this] {
         return static_cast<double>(router.limitedEndpoints());
     });
+    metrics.gauge("sycamoretray_ejected_endpoints", [this] {
+        return static_cast<double>(router.ejectedEndpoints() + permits.ejectedEndpoints());
+    });
     metrics.gauge("sycamoretray_crash_suspects", [this] {
         return static_cast<double>(router.crashSuspects());
     });
@@ -570,6 +577,15 @@
     }
 }
 
+void gateway_daemon::impl::logDecision(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    metrics.counter("sycamoretray_router_events_total{event=\"" + std::string(event) + "\"}").add();
+    if (event == "endpoint_ejected") {
+        metrics.counter("sycamoretray_endpoints_ejected_total").add();
+    }
+    logEvent(event, fields);
+}
+
 void gateway_daemon::impl::logStoreCalls()
 {
     if (storeCalls.empty()) {
--- a/apps/sycamoretrayd/gateway/permit_service.cpp
+++ b/apps/sycamoretrayd/gateway/permit_service.cpp
@@ -17,12 +17,13 @@
          datagram_channel &givenDatagrams,
          network_address givenSelf,
          std::function<std::optional<availability_zone>(const endpoint_incarnation &)> zoneOf,
-         permit_observer observer)
+         permit_observer observer,
+         permit_log log)
         : executor(std::move(givenExecutor))
         , datagrams(givenDatagrams)
         , self(std::move(givenSelf))
         , timer(executor.state().strand)
-        , coordinator(*this)
+        , coordinator(*this, std::move(log))
         , client({ std::move(zoneOf) }, *this, std::move(observer))
     {
     }
@@ -99,8 +100,9 @@
                                datagram_channel &datagrams,
                                const network_address &self,
                                std::function<std::optional<availability_zone>(const endpoint_incarnation &)> zoneOf,
-                               permit_observer observer)
-    : d(std::make_shared<impl>(std::move(executor), datagrams, self, std::move(zoneOf), std::move(observer)))
+                               permit_observer observer,
+                               permit_log log)
+    : d(std::make_shared<impl>(std::move(executor), datagrams, self, std::move(zoneOf), std::move(observer), std::move(log)))
 {
     datagrams.setHandler(datagram_kind::permit, [weak = std::weak_ptr<impl>(d)](const network_address &from, std::string_view content) {
         const auto me = weak.lock();
@@ -148,4 +150,9 @@
     return d->coordinator.inUse();
 }
 
+std::size_t permit_service::ejectedEndpoints() const
+{
+    return d->coordinator.ejectedEndpoints();
+}
+
 } // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/permit_service.h
+++ b/apps/sycamoretrayd/gateway/permit_service.h
@@ -22,12 +22,14 @@
      * @param datagrams  must outlive this object
      * @param self  internal address of this instance
      * @param zoneOf  see permit_client_settings
+     * @param log  receives the decisions of the coordinator about endpoints
      */
     permit_service(serial_executor executor,
                    datagram_channel &datagrams,
                    const network_address &self,
                    std::function<std::optional<availability_zone>(const endpoint_incarnation &)> zoneOf,
-                   permit_observer observer);
+                   permit_observer observer,
+                   permit_log log);
     ~permit_service();
     permit_service(const permit_service &) = delete;
     permit_service &operator=(const permit_service &) = delete;
@@ -47,6 +49,9 @@
     /** Number of permits of this instance in use. */
     std::size_t inUse() const;
 
+    /** Number of endpoints that are ejected from the queues of this instance because of failures. */
+    std::size_t ejectedEndpoints() const;
+
 private:
     struct impl;
     std::shared_ptr<impl> d;
--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -137,6 +137,12 @@
     });
 }
 
+bool gateway_state::isEjected(const service_id &service, const tracked_endpoint &tracked) const
+{
+    const auto found = failures.find(service);
+    return found != failures.end() && found->second.isEjected(tracked.limiter.entry().incarnation);
+}
+
 bool gateway_state::acceptsKeyedRequests(const tracked_endpoint &tracked, monotonic_time now) const
 {
     return tracked.limiter.isListed() && (!tracked.limiter.entry().draining || now - tracked.stateSince < settings.drainTime);
@@ -199,6 +205,7 @@
                               { "in_flight", tracked.limiter.inFlight() },
                               { "load", tracked.limiter.estimatedLoad(now) },
                               { "slowness", tracked.limiter.slowness() },
+                              { "ejected", isEjected(tracked.limiter.entry().service, tracked) },
                               { "momentary_slowness", tracked.limiter.momentarySlowness(now) },
                               { "request_limit", limit ? nlohmann::json(limit->value()) : nlohmann::json() } });
     }
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -175,6 +175,8 @@
     void updateEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints);
     /** Removes endpoints that are not listed any more and have no requests in flight. */
     void removeUnlisted();
+    /** True if the endpoint gets only trial requests, because it fails. */
+    bool isEjected(const service_id &service, const tracked_endpoint &tracked) const;
     /** True if requests may be sent to the endpoint for keys that it holds. */
     bool acceptsKeyedRequests(const tracked_endpoint &tracked, monotonic_time now) const;
 
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -50,7 +50,7 @@
     bool anyCapacity = false;
     monotonic_time unblockedAt = monotonic_time::max();
     for (detail::tracked_endpoint *tracked : endpointsOf(queueId)) {
-        if (!tracked->limiter.isListed() || (!pending.byKey && tracked->limiter.entry().draining)) {
+        if (!tracked->limiter.isListed() || (!pending.byKey && (tracked->limiter.entry().draining || isEjected(pending.service, *tracked)))) {
             continue;
         }
         anyCapacity = anyCapacity || (ahead == 0 && tracked->limiter.hasCapacity(now));
@@ -126,14 +126,15 @@
     detail::tracked_endpoint *best = nullptr;
     time_span bestCost{};
     const time_span typicalRunTime = runTimes.of(pending.route);
-    const failure_detector *detector = pending.byKey ? nullptr : &failures[pending.service];
     for (detail::tracked_endpoint *tracked : endpointsOf(queueId)) {
         const bool usable = pending.byKey ? acceptsKeyedRequests(*tracked, now) && tracked->limiter.hasCapacity(now) : tracked->limiter.takesNewWork(now);
         if (!usable) {
             continue;
         }
-        if (detector != nullptr && detector->isEjected(tracked->limiter.entry().incarnation)) {
-            if (pending.triedEndpoints.empty() && detector->isTrialDue(tracked->limiter.entry().incarnation, pending.route.idempotent, now)) {
+        if (!pending.byKey && isEjected(pending.service, *tracked)) {
+            // A request that failed before is not risked again.
+            if (pending.triedEndpoints.empty()
+                && failures.at(pending.service).isTrialDue(tracked->limiter.entry().incarnation, pending.route.idempotent, now)) {
                 return tracked;
             }
             continue;
--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -257,7 +257,7 @@
     pool_throughput result;
     bool first = true;
     for (const auto &[incarnation, endpoint] : m_endpoints) {
-        if (endpoint.limiter.isListed()) {
+        if (endpoint.limiter.isListed() && !m_failures.isEjected(incarnation)) {
             const double each = slowness(endpoint, now);
             const double slots = endpoint.limiter.entry().workerSlots / std::max(minSlowness, each);
             result.lowestSlowness = first ? each : std::min(result.lowestSlowness, each);
--- a/libs/permits/permit_pool.h
+++ b/libs/permits/permit_pool.h
@@ -155,7 +155,12 @@
     /** Returns whether a request that can wait in other zones is refused, as all endpoints with free worker slots are too slow for it. */
     bool hasOnlySlowEndpoints(const permit_request &request, monotonic_time now) const;
     /** Records what an attempt shows about the endpoint. */
-    void recordOutcome(const permit_holder &holder, const used_permit &used, const permit_result &result, const endpoint_reply &reply, bool pathLost, monotonic_time now);
+    void recordOutcome(const permit_holder &holder,
+                       const used_permit &used,
+                       const permit_result &result,
+                       const endpoint_reply &reply,
+                       bool pathLost,
+                       monotonic_time now);
     granted_permit grant(pool_endpoint &endpoint, const waiting_entry &entry, monotonic_time now);
     /** Sets the start time of the requests that have got a worker slot. */
     void markRunning(pool_endpoint &endpoint, monotonic_time now);
--- a/libs/permits/permit_pool_choice.cpp
+++ b/libs/permits/permit_pool_choice.cpp
@@ -9,14 +9,19 @@
 {
 
 // Estimates of the slowness differ by this factor by chance, as run times have a wide spread; endpoints within it count as equal.
-constexpr double equalSlownessFactor = 1.2;
+constexpr double equalSlownessFactor = 1.4;
 // Weight of the busy worker slots among endpoints that count as equal, so that they are used evenly.
-constexpr double utilizationWeight = 0.2;
+constexpr double utilizationWeight = 0.8;
 // Number of answers of each endpoint of the queue within which the estimate for one that does not answer loses most of its weight.
-constexpr double answersToForget = 14;
+constexpr double answersToForget = 7;
 // A gateway that can ask other zones allows for 1.3 typical run times, and the comparison for rounding.
 constexpr double otherZonesFactor = 1.31;
 
+double withoutChance(double slowness) noexcept
+{
+    return std::clamp(1.0, slowness / equalSlownessFactor, slowness * equalSlownessFactor);
+}
+
 } // namespace
 
 bool permit_pool::isUsable(const pool_endpoint &endpoint, const permit_request &request, monotonic_time now)
@@ -41,15 +46,17 @@
 double permit_pool::comparedTime(const pool_endpoint &endpoint, monotonic_time now) const
 {
     const endpoint_limiter &limiter = endpoint.limiter;
-    const double lasting = std::max(slowness(endpoint, now), limiter.currentSlowness(now));
-    const double compared = std::clamp(1.0, lasting / equalSlownessFactor, lasting * equalSlownessFactor);
+    // Retries after failures and refusals.
+    const double repetitions = limiter.currentSlowness(now) / limiter.runSlowness(now);
     const double utilization = limiter.estimatedLoad(now) / std::max(1U, limiter.entry().workerSlots);
-    return compared * limiter.momentarySlowness(now) * limiter.queueFactor(now) * (1 + utilizationWeight * utilization);
+    return withoutChance(slowness(endpoint, now)) * repetitions * limiter.momentarySlowness(now) * limiter.queueFactor(now)
+        * (1 + utilizationWeight * utilization);
 }
 
 bool permit_pool::isTooSlow(const pool_endpoint &endpoint, const permit_request &request, monotonic_time now) const
 {
-    return request.typicalRunTime * (slowness(endpoint, now) * endpoint.limiter.queueFactor(now)) > request.maxAnswerTime;
+    const double slow = slowness(endpoint, now);
+    return request.typicalRunTime * ((request.owner ? slow : withoutChance(slow)) * endpoint.limiter.queueFactor(now)) > request.maxAnswerTime;
 }
 
 bool permit_pool::hasOnlySlowEndpoints(const permit_request &request, monotonic_time now) const
@@ -62,7 +69,7 @@
         if (!isUsable(endpoint, request, now) || m_failures.isEjected(incarnation)) {
             continue;
         }
-        if (request.typicalRunTime * (slowness(endpoint, now) * endpoint.limiter.momentarySlowness(now)) <= request.maxAnswerTime) {
+        if (request.typicalRunTime * (withoutChance(slowness(endpoint, now)) * endpoint.limiter.momentarySlowness(now)) <= request.maxAnswerTime) {
             return false;
         }
         anyFree = anyFree || endpoint.used.size() < endpoint.limiter.entry().workerSlots;
