--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -331,8 +331,11 @@
             expired.push_back(entry.holder);
         }
     }
+    // An endpoint that does not answer holds its requests beyond the time at which permits expire. A lost sender gets no responses of others.
+    permit_result result;
+    result.timedOut = true;
     for (const permit_holder &holder : expired) {
-        release(holder, {}, now);
+        release(holder, result, now);
     }
 }
 
