Name the events of ejections where the check of the operators' page finds them

Measured: operations_page_test passes (it failed before: two events were listed, but not found); gateway_test 82, permits_test 24, uneven_endpoints_test 3, gateway_daemon_test 21 pass.

--- a/libs/gateway/gateway_replies.cpp
+++ b/libs/gateway/gateway_replies.cpp
@@ -64,7 +64,11 @@
     // All attempts are those of this instance, so that it needs no name.
     found->second.ended(pending.endpoint, { network_address(), pending.sentAt }, outcome, now);
     for (const ejection_change &change : found->second.takeChanges()) {
-        log(change.ejected ? "endpoint_ejected" : "endpoint_readmitted", ejectionFields(change));
+        if (change.ejected) {
+            log("endpoint_ejected", ejectionFields(change));
+        } else {
+            log("endpoint_readmitted", ejectionFields(change));
+        }
     }
 }
 
--- a/libs/permits/permit_coordinator.cpp
+++ b/libs/permits/permit_coordinator.cpp
@@ -147,8 +147,10 @@
 void permit_coordinator::logEjections(permit_pool &pool) const
 {
     for (const ejection_change &change : pool.takeEjectionChanges()) {
-        if (m_log) {
-            m_log(change.ejected ? "endpoint_ejected" : "endpoint_readmitted", ejectionFields(change));
+        if (m_log && change.ejected) {
+            m_log("endpoint_ejected", ejectionFields(change));
+        } else if (m_log) {
+            m_log("endpoint_readmitted", ejectionFields(change));
         }
     }
 }
