--- a/libs/gateway/detail/gateway_state.cpp
+++ b/libs/gateway/detail/gateway_state.cpp
@@ -103,6 +103,12 @@
             evacuatedServices.insert(service);
         }
     }
+    std::erase_if(failures, [&](const auto &item) {
+        return !endpointsOfService.contains(item.first);
+    });
+    for (const auto &[service, incarnations] : endpointsOfService) {
+        failures[service].setEndpoints(incarnations);
+    }
     orderZones();
     removeUnlisted();
 }
@@ -138,6 +144,12 @@
     });
 }
 
+bool gateway_state::isEjected(const service_id &service, const tracked_endpoint &tracked) const
+{
+    const auto found = failures.find(service);
+    return found != failures.end() && found->second.isEjected(tracked.limiter.entry().incarnation);
+}
+
 bool gateway_state::acceptsKeyedRequests(const tracked_endpoint &tracked, monotonic_time now) const
 {
     const bool drained = tracked.limiter.entry().draining && now - tracked.stateSince >= settings.drainTime;
@@ -186,6 +198,9 @@
             first = std::min(first, tracked->limiter.blockedUntil());
         }
     }
+    if (const auto found = failures.find(queueId.service); !queueId.endpoint && found != failures.end()) {
+        first = std::min(first, found->second.nextTrial(now));
+    }
     if (first != monotonic_time::max()) {
         queueTimers.insert(queueId);
         timers.emplace(first, timer{ {}, queueId });
@@ -206,6 +221,8 @@
                               { "in_flight", tracked.limiter.inFlight() },
                               { "load", tracked.limiter.estimatedLoad(now) },
                               { "slowness", tracked.limiter.slowness() },
+                              { "ejected", isEjected(tracked.limiter.entry().service, tracked) },
+                              { "momentary_slowness", tracked.limiter.momentarySlowness(now) },
                               { "request_limit", limit ? nlohmann::json(limit->value()) : nlohmann::json() } });
     }
     const nlohmann::json document = { { "config_version", routes ? nlohmann::json(routes->version()) : nlohmann::json() },
--- a/libs/gateway/detail/gateway_state.h
+++ b/libs/gateway/detail/gateway_state.h
@@ -148,6 +148,8 @@
     monotonic_time ownershipSince{};
     std::map<endpoint_incarnation, tracked_endpoint> trackedEndpoints;
     std::map<service_id, std::vector<endpoint_incarnation>> endpointsOfService;
+    /** Failures of the endpoints of each service, for services that are not divided by key. */
+    std::map<service_id, failure_detector> failures;
     std::map<gateway_request_id, std::unique_ptr<unanswered_request>> requests;
     std::map<endpoint_attempt_id, gateway_request_id> attempts;
     std::map<queue_id, std::set<queue_position>> queues;
@@ -183,6 +185,8 @@
     void updateEndpoints(const std::map<endpoint_id, listed_endpoint> &endpoints);
     /** Removes endpoints that are not listed any more and have no requests in flight. */
     void removeUnlisted();
+    /** True if the endpoint gets only trial requests, because it fails. */
+    bool isEjected(const service_id &service, const tracked_endpoint &tracked) const;
     /** True if requests may be sent to the endpoint for keys that it holds. */
     bool acceptsKeyedRequests(const tracked_endpoint &tracked, monotonic_time now) const;
 
--- a/libs/gateway/gateway_sending.cpp
+++ b/libs/gateway/gateway_sending.cpp
@@ -50,7 +50,7 @@
     bool anyCapacity = false;
     monotonic_time unblockedAt = monotonic_time::max();
     for (detail::tracked_endpoint *tracked : endpointsOf(queueId)) {
-        if (!tracked->limiter.isListed() || (!pending.byKey && !tracked->limiter.acceptsNewWork())) {
+        if (!tracked->limiter.isListed() || (!pending.byKey && (!tracked->limiter.acceptsNewWork() || isEjected(pending.service, *tracked)))) {
             continue;
         }
         anyCapacity = anyCapacity || (ahead == 0 && tracked->limiter.hasCapacity(now));
@@ -131,6 +131,14 @@
         if (!usable) {
             continue;
         }
+        if (!pending.byKey && isEjected(pending.service, *tracked)) {
+            // A request that failed before is not risked again.
+            if (pending.triedEndpoints.empty()
+                && failures.at(pending.service).isTrialDue(tracked->limiter.entry().incarnation, pending.route.idempotent, now)) {
+                return tracked;
+            }
+            continue;
+        }
         time_span cost = tracked->limiter.expectedTime(typicalRunTime, now);
         if (tracked->limiter.entry().zone != settings.zone) {
             cost += std::chrono::duration_cast<time_span>(typicalRunTime * otherZonePenaltyFactor);
@@ -166,6 +174,9 @@
     pending.triedEndpoints.insert(pending.endpoint.endpoint);
     attempts.emplace(pending.attempt, pending.id);
     tracked.limiter.sent(now);
+    if (const auto found = failures.find(pending.service); found != failures.end() && !pending.byKey && !pending.permit) {
+        found->second.sent(pending.endpoint);
+    }
     recordLimitedSend(pending, tracked.limiter);
     port.send(pending.attempt, tracked.limiter.entry(), pending.request, attemptDeadline(pending) - now);
 }
--- a/libs/gateway/permit_source.h
+++ b/libs/gateway/permit_source.h
@@ -41,6 +41,8 @@
      * next, or if the sender does not state it.
      */
     std::optional<time_span> callerTimeLeft;
+    /** The request may run twice, so that a failed attempt can be repeated. */
+    bool idempotent = false;
     /** Endpoints that were tried before; used only if there is no other. */
     std::vector<endpoint_id> triedEndpoints;
     /** An endpoint that may be used names a request limit, which the instances can keep only together. Not passed to the coordinator. */
@@ -63,6 +65,8 @@
     std::optional<endpoint_load> load;
     /** Request limit that the endpoint named in its response. */
     std::optional<request_rate> requestLimit;
+    /** The attempt was aborted because there was no answer for far longer than is typical, until the time of the request was over. */
+    bool timedOut = false;
 };
 
 /**
--- a/libs/permits/permit_coordinator.h
+++ b/libs/permits/permit_coordinator.h
@@ -11,6 +11,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace sycamoretray
 {
@@ -28,6 +31,9 @@
     friend bool operator<(const permit_pool_name &left, const permit_pool_name &right) noexcept;
 };
 
+/** Receives decisions about the endpoints of queues for the event log. */
+using permit_log = std::function<void(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)>;
+
 /**
  * Permit coordinator: holds the queues for which other instances request permits from this one, and grants the permits.
  *
@@ -39,7 +45,7 @@
 class permit_coordinator
 {
 public:
-    explicit permit_coordinator(permit_port &port);
+    explicit permit_coordinator(permit_port &port, permit_log log = nullptr);
 
     /** Sets a callback for each outcome of a promise to a refused request; none by default. Call it before the first message is received. */
     void setPromiseObserver(std::function<void(promise_outcome)> observer);
@@ -66,6 +72,9 @@
     std::size_t waiting() const noexcept;
     std::size_t inUse() const noexcept;
 
+    /** Number of endpoints that are ejected from the queues because of failures. */
+    std::size_t ejectedEndpoints() const noexcept;
+
 private:
     void handleRequest(const network_address &from, const permit_request &request, monotonic_time now);
     void handleReturn(const network_address &from, const permit_return &message, monotonic_time now);
@@ -76,11 +85,13 @@
     /** Tells the holders of waiting requests that no permit is granted here. @param stopping  another instance may grant one */
     void redirectWaiting(permit_pool &pool, bool stopping);
     void decide(const permit_pool_name &name, monotonic_time now);
+    void logEjections(permit_pool &pool) const;
     /** Removes expired permits, and pools without endpoints and permits. */
     void removeExpired();
 
     permit_port &m_port;
     std::function<void(promise_outcome)> m_promiseObserver;
+    permit_log m_log;
     bool m_resigned = false;
     std::map<endpoint_id, listed_endpoint> m_endpoints;
     std::map<service_id, service_definition> m_services;
--- a/libs/permits/permit_message.cpp
+++ b/libs/permits/permit_message.cpp
@@ -46,9 +46,8 @@
     result.push_back(std::move(tried));
     result.push_back(request.ownerLimit ? json::array({ request.ownerLimit->rate.value(), request.ownerLimit->age.count() }) : json());
     result.push_back(static_cast<int>(request.role));
-    if (request.fingerprint || request.callerTimeLeft) {
-        result.push_back(request.fingerprint ? json(request.fingerprint->value()) : json());
-    }
+    result.push_back(request.fingerprint ? json(request.fingerprint->value()) : json());
+    result.push_back(request.idempotent);
     if (request.callerTimeLeft) {
         result.push_back(request.callerTimeLeft->count());
     }
@@ -75,6 +74,7 @@
     encoded.push_back(result.status);
     encoded.push_back(result.load ? encodeLoad(*result.load) : json());
     encoded.push_back(result.requestLimit ? json(result.requestLimit->value()) : json());
+    encoded.push_back(result.timedOut);
     return encoded;
 }
 
@@ -159,12 +159,16 @@
         request.ownerLimit = decodeKnownLimit(limit);
     }
     request.role = decodeLimitRole(message.at(11).get<int>());
-    // Instances of earlier versions leave these out.
+    // Instances of earlier versions leave out the last elements.
     constexpr std::size_t fingerprintIndex = 12;
-    constexpr std::size_t callerTimeLeftIndex = 13;
+    constexpr std::size_t idempotentIndex = 13;
+    constexpr std::size_t callerTimeLeftIndex = 14;
     if (message.size() > fingerprintIndex && !message.at(fingerprintIndex).is_null()) {
         request.fingerprint = request_fingerprint(message.at(fingerprintIndex).get<std::uint64_t>());
     }
+    if (message.size() > idempotentIndex) {
+        request.idempotent = message.at(idempotentIndex).get<bool>();
+    }
     if (message.size() > callerTimeLeftIndex) {
         request.callerTimeLeft = time_span(message.at(callerTimeLeftIndex).get<std::int64_t>());
     }
@@ -206,6 +210,11 @@
     if (const json &limit = message.at(8); !limit.is_null()) {
         result.result.requestLimit = decodeRate(limit);
     }
+    // Instances of earlier versions leave it out.
+    constexpr std::size_t timedOutIndex = 9;
+    if (message.size() > timedOutIndex) {
+        result.result.timedOut = message.at(timedOutIndex).get<bool>();
+    }
     return result;
 }
 
--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr time_span networkDelay = std::chrono::microseconds(600);
+constexpr time_span slowIntervalLength = std::chrono::milliseconds(400);
+constexpr double slowIntervalFactor = 3;
 const service_id serviceName("s");
 
 availability_zone zoneName(std::size_t index)
@@ -31,6 +33,7 @@
     availability_zone zone;
     double slowness = 1;
     double refusalShare = 0;
+    bool resetting = false;
     struct arrival {
         monotonic_time at;
         std::size_t instance = 0;
@@ -284,6 +287,16 @@
     m_endpoints[endpoint]->refusalShare = share;
 }
 
+void permit_simulation::setResetting(std::size_t endpoint, bool resetting)
+{
+    m_endpoints[endpoint]->resetting = resetting;
+}
+
+std::size_t permit_simulation::arrivedAt(std::size_t endpoint) const
+{
+    return m_endpoints[endpoint]->arrivals.size();
+}
+
 void permit_simulation::setRequestLimit(std::size_t endpoint, std::optional<request_rate> limit)
 {
     m_endpoints[endpoint]->requestLimit = limit;
@@ -458,7 +471,8 @@
     simulated_call call;
     call.key = drawKey(m_random);
     call.kind = drawPriority(m_random);
-    call.work = std::chrono::duration_cast<time_span>(m_settings.work * std::lognormal_distribution<double>(-0.1, 0.45)(m_random));
+    call.work = std::chrono::duration_cast<time_span>(m_settings.work
+                                                     * std::lognormal_distribution<double>(m_settings.workLogMean, m_settings.workLogDeviation)(m_random));
     call.body = std::to_string(m_requests.size());
     return call;
 }
@@ -535,6 +549,12 @@
 {
     simulated_endpoint &endpoint = *m_endpoints[index];
     endpoint.arrivals.push_back({ m_now, instance });
+    if (endpoint.resetting) {
+        endpoint_reply reset;
+        reset.code = result_code::server_connection_lost;
+        reply(instance, attempt, index, reset);
+        return;
+    }
     const bool refuses = std::uniform_real_distribution<double>(0, 1)(m_random) < endpoint.refusalShare;
     if (refuses) {
         endpoint_reply refused;
@@ -542,7 +562,7 @@
         refused.code = result_code::refused_by_server;
         refused.response.status = 503;
         refused.requestLimit = endpoint.requestLimit;
-        refused.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+        refused.load = loadOf(index);
         reply(instance, attempt, index, refused);
         return;
     }
@@ -564,12 +584,48 @@
         ++endpoint.running;
         ++m_requests[next.request].runs;
         const auto work = std::chrono::duration_cast<time_span>(m_requests[next.request].work * endpoint.slowness);
-        schedule(m_now + work, [this, index, run = next.run] {
+        schedule(endOfWork(index, work), [this, index, run = next.run] {
             finish(index, run);
         });
     }
 }
 
+bool permit_simulation::isInSlowInterval(std::size_t endpoint, monotonic_time when) const
+{
+    // The intervals of the endpoints begin at different times.
+    const auto shifted = when.time_since_epoch() + slowIntervalLength * static_cast<std::int64_t>(endpoint) / 7;
+    const auto interval = static_cast<std::uint64_t>(shifted / slowIntervalLength);
+    // A generator per call would be slow; this is the mixing function of splitmix64.
+    std::uint64_t bits = (interval * 64 + endpoint) * 0x9e3779b97f4a7c15U + m_settings.seed;
+    bits = (bits ^ (bits >> 30U)) * 0xbf58476d1ce4e5b9U;
+    bits = (bits ^ (bits >> 27U)) * 0x94d049bb133111ebU;
+    bits ^= bits >> 31U;
+    return static_cast<double>(bits >> 11U) / static_cast<double>(1ULL << 53U) < m_settings.slowIntervalShare;
+}
+
+monotonic_time permit_simulation::endOfWork(std::size_t endpoint, time_span work) const
+{
+    if (m_settings.slowIntervalShare == 0) {
+        return m_now + work;
+    }
+    constexpr time_span step = std::chrono::milliseconds(5);
+    monotonic_time end = m_now;
+    for (time_span done{}; done < work; end += step) {
+        done += isInSlowInterval(endpoint, end) ? std::chrono::duration_cast<time_span>(step / slowIntervalFactor) : step;
+    }
+    return end;
+}
+
+endpoint_load permit_simulation::loadOf(std::size_t index) const
+{
+    const simulated_endpoint &endpoint = *m_endpoints[index];
+    endpoint_load load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+    if (m_settings.slowIntervalShare > 0) {
+        load.runTimePercent = isInSlowInterval(index, m_now) ? static_cast<std::uint32_t>(100 * slowIntervalFactor) : 100;
+    }
+    return load;
+}
+
 void permit_simulation::finish(std::size_t index, std::uint64_t run)
 {
     simulated_endpoint &endpoint = *m_endpoints[index];
@@ -584,7 +640,7 @@
     endpoint_reply answer;
     answer.kind = reply_kind::answered;
     answer.response.status = 200;
-    answer.load = endpoint_load{ endpoint.running, static_cast<std::uint32_t>(endpoint.queue.size()), m_settings.slots };
+    answer.load = loadOf(index);
     answer.requestLimit = endpoint.requestLimit;
     reply(ended.instance, ended.id, index, answer);
 }
