Apply the margin of new requests only to refusals that reach the caller

A queue that refuses a request while other zones can be asked has a bound of its own, and the margin made it refuse at almost any load.

--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -359,7 +359,8 @@
 
 time_span permit_pool::admissionMargin(const waiting_entry &entry)
 {
-    if (entry.standing == queue_standing::returning || entry.request.owner) {
+    // A refusal that the caller is not told of sends the request to another zone, within a bound of its own.
+    if (entry.standing == queue_standing::returning || entry.request.owner || !entry.request.callerTimeLeft) {
         return time_span::zero();
     }
     return std::chrono::duration_cast<time_span>(entry.request.maxAnswerTime * newRequestMargin);
