--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -233,9 +233,8 @@
 {
     const endpoint_incarnation &incarnation = endpoint.limiter.entry().incarnation;
     const time_span typicalRunTime = entry.request.typicalRunTime;
-    m_used[entry.holder] = {
-        incarnation, typicalRunTime, now, std::nullopt, now + std::max(minExpiry, typicalRunTime * expiryInTypicalRunTimes), entry.request.fingerprint
-    };
+    m_used[entry.holder]
+        = { incarnation, typicalRunTime, now, std::nullopt, now + std::max(minExpiry, typicalRunTime * expiryInTypicalRunTimes), entry.request.fingerprint };
     endpoint.used.push_back(entry.holder);
     endpoint.limiter.sent(now);
     m_failures.sent(incarnation);
--- a/tests/unit/permits/permit_simulation.cpp
+++ b/tests/unit/permits/permit_simulation.cpp
@@ -472,7 +472,7 @@
     call.key = drawKey(m_random);
     call.kind = drawPriority(m_random);
     call.work = std::chrono::duration_cast<time_span>(m_settings.work
-                                                     * std::lognormal_distribution<double>(m_settings.workLogMean, m_settings.workLogDeviation)(m_random));
+                                                      * std::lognormal_distribution<double>(m_settings.workLogMean, m_settings.workLogDeviation)(m_random));
     call.body = std::to_string(m_requests.size());
     return call;
 }
