Release the memory of each request when its answer is written

Cause: http_session reserved received bytes for the whole connection and released them only when it had no unanswered request and no unparsed byte.

Change: one reservation for each request. It is taken while the request is received, and released when its answer has been written or the connection closes.

--- a/libs/http_entry/detail/http_session.cpp
+++ b/libs/http_entry/detail/http_session.cpp
@@ -31,6 +31,8 @@
     , m_environment(std::move(environment))
     , m_parser(m_environment->settings.limits)
     , m_received(m_environment->settings.budget)
+    , m_outputReservation(m_environment->settings.budget)
+    , m_writingReservation(m_environment->settings.budget)
 {
     m_environment->connections.fetch_add(1, std::memory_order_relaxed);
     boost::system::error_code error;
@@ -94,6 +96,7 @@
         }
         const std::size_t used = m_parser.feed(std::string_view(m_unparsed).substr(position));
         position += used;
+        m_parsedBytes += used;
         if (m_parser.state() == http_parse_state::failed) {
             refuse(m_parser.error());
             break;
@@ -131,7 +134,8 @@
     m_continueSent = false;
     const bool keepAlive = request.keepAlive;
     const std::uint64_t sequence = m_firstSequence + m_pending.size();
-    pending_answer &pending = m_pending.emplace_back();
+    pending_answer &pending = addPending();
+    pending.reservation = m_received.split(std::exchange(m_parsedBytes, 0));
     pending.headRequest = request.method == "HEAD";
     pending.keepAlive = keepAlive;
     m_noMoreRequests = !keepAlive;
@@ -139,12 +143,17 @@
     m_environment->handler(std::move(request), std::move(handle));
 }
 
+http_session::pending_answer &http_session::addPending()
+{
+    return m_pending.emplace_back(pending_answer{ .reservation = budget_reservation(m_environment->settings.budget) });
+}
+
 void http_session::refuse(result_code code)
 {
     m_noMoreRequests = true;
     m_requestDeadline = noDeadline;
     const std::uint64_t sequence = m_firstSequence + m_pending.size();
-    m_pending.emplace_back().keepAlive = false;
+    addPending().keepAlive = false;
     const auto &errorResponse = m_environment->settings.errorResponse;
     deliverOnStrand(sequence, errorResponse ? errorResponse(code) : errorAnswer(code, request_id()), true);
 }
@@ -187,7 +196,7 @@
 void http_session::queueReadyAnswers()
 {
     while (!m_pending.empty() && m_pending.front().ready && !m_closeAfterWrite) {
-        const pending_answer &front = m_pending.front();
+        pending_answer &front = m_pending.front();
         if (!front.response) {
             closeOnStrand();
             return;
@@ -195,15 +204,13 @@
         m_closeAfterWrite = !front.keepAlive || (isClosing() && m_pending.size() == 1);
         m_output.reserve(m_output.size() + typicalHeadBytes + front.response->body.size());
         appendResponse(m_output, *front.response, {}, front.headRequest, !m_closeAfterWrite);
+        m_outputReservation.merge(std::move(front.reservation));
         m_pending.pop_front();
         ++m_firstSequence;
     }
     if (m_closeAfterWrite) {
         m_noMoreRequests = true;
     }
-    if (m_pending.empty() && m_unparsed.empty() && m_requestDeadline == noDeadline) {
-        m_received.release();
-    }
     writeMore();
 }
 
@@ -215,6 +222,7 @@
     m_writeActive = true;
     m_writing.clear();
     std::swap(m_writing, m_output);
+    m_writingReservation = std::move(m_outputReservation);
     m_writeDeadline = steadyNow() + m_environment->settings.transferTimeout;
     updateDeadline();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writing), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
@@ -226,6 +234,7 @@
 {
     m_writeActive = false;
     m_writeDeadline = noDeadline;
+    m_writingReservation.release();
     if (isClosed()) {
         return;
     }
@@ -310,6 +319,8 @@
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_received.release();
+    m_outputReservation.release();
+    m_writingReservation.release();
     std::vector<std::function<void()>> functions;
     for (pending_answer &pending : m_pending) {
         if (pending.disconnectHandler) {
--- a/libs/http_entry/detail/http_session.h
+++ b/libs/http_entry/detail/http_session.h
@@ -75,8 +75,10 @@
 
 private:
     struct pending_answer {
-        std::optional<http_response> response;
-        std::function<void()> disconnectHandler;
+        std::optional<http_response> response{};
+        std::function<void()> disconnectHandler{};
+        /** Bytes of the request. */
+        budget_reservation reservation;
         bool ready = false;
         bool headRequest = false;
         bool keepAlive = true;
@@ -86,6 +88,7 @@
     void received(std::size_t size);
     void parseReceived();
     void requestComplete();
+    pending_answer &addPending();
     void refuse(result_code code);
     void sendContinue();
     void deliverOnStrand(std::uint64_t sequence, std::optional<http_response> response, bool closeConnection);
@@ -126,8 +129,13 @@
     monotonic_time m_requestDeadline = noDeadline;
     monotonic_time m_writeDeadline = noDeadline;
     bool m_lingering = false;
-    /** Memory reserved for data received since the connection last had no unanswered request. */
+    /** Memory reserved for data received that does not belong to a complete request yet. */
     budget_reservation m_received;
+    /** Part of m_received that the parser has consumed for the incomplete request. */
+    std::uint64_t m_parsedBytes = 0;
+    /** Reservations of the requests whose answers are in m_output and in m_writing. */
+    budget_reservation m_outputReservation;
+    budget_reservation m_writingReservation;
 };
 
 } // namespace sycamoretray::detail
--- a/libs/http_message/buffer_budget.h
+++ b/libs/http_message/buffer_budget.h
@@ -48,7 +48,7 @@
 };
 
 /**
- * Bytes that one connection has reserved in a budget. The destructor releases them.
+ * Bytes that are reserved in a budget, for example for one request. The destructor releases them.
  *
  * Thread safety: none.
  */
@@ -68,6 +68,22 @@
     budget_reservation(const budget_reservation &) = delete;
     budget_reservation &operator=(const budget_reservation &) = delete;
 
+    budget_reservation(budget_reservation &&other) noexcept
+        : m_budget(other.m_budget)
+        , m_reserved(std::exchange(other.m_reserved, 0))
+    {
+    }
+
+    budget_reservation &operator=(budget_reservation &&other) noexcept
+    {
+        if (this != &other) {
+            release();
+            m_budget = other.m_budget;
+            m_reserved = std::exchange(other.m_reserved, 0);
+        }
+        return *this;
+    }
+
     /** Reserves @p bytes. Returns false if the budget would be exceeded. */
     bool tryReserve(std::uint64_t bytes) noexcept
     {
@@ -78,6 +94,26 @@
         return true;
     }
 
+    /** Moves @p bytes to a reservation of their own. Precondition: bytes <= reserved(). */
+    budget_reservation split(std::uint64_t bytes) noexcept
+    {
+        budget_reservation part(m_budget);
+        part.m_reserved = bytes;
+        m_reserved -= bytes;
+        return part;
+    }
+
+    /** Takes over all bytes of @p other. Precondition: both have the same budget. */
+    void merge(budget_reservation &&other) noexcept
+    {
+        m_reserved += std::exchange(other.m_reserved, 0);
+    }
+
+    std::uint64_t reserved() const noexcept
+    {
+        return m_reserved;
+    }
+
     /** Releases all reserved bytes. */
     void release() noexcept
     {
