Let requests that can go to another zone block no others

A request that asks one zone after another states a short useful time, because it wants an endpoint that answers at once. Ordered by useful time, it went before requests that wait in that zone for good, and while no endpoint was fast enough for it, nothing behind it was granted: free worker slots stayed idle and requests were refused after waiting. Such a request now goes after those of its priority, and is passed over while no endpoint is fast enough for it.

--- a/libs/permits/permit_pool.cpp
+++ b/libs/permits/permit_pool.cpp
@@ -97,7 +97,9 @@
     const monotonic_time usefulUntil = now + request.maxAnswerTime;
     const queue_standing standing
         = request.fingerprint ? m_promises.arrived(*request.fingerprint, m_present.contains(*request.fingerprint), now) : queue_standing::fresh;
-    const queue_ticket ticket = m_queue.add({ request.priority, request.key, request.typicalRunTime, standing, usefulUntil });
+    // The time stated by a request that can go to another zone is no measure of its urgency.
+    const monotonic_time orderedBy = mayGoToOtherZone(request) ? monotonic_time::max() : usefulUntil;
+    const queue_ticket ticket = m_queue.add({ request.priority, request.key, request.typicalRunTime, standing, orderedBy });
     m_waiting.emplace(ticket, waiting_entry{ holder, request, usefulUntil, now, standing });
     m_tickets[holder] = ticket;
     if (request.fingerprint) {
@@ -214,13 +216,22 @@
     std::vector<permit_decision> decisions;
     releaseExpired(now);
     m_promises.expire(now);
-    while (const auto first = m_queue.first()) {
-        const auto entry = m_waiting.find(*first);
+    std::vector<queue_ticket> order;
+    order.reserve(m_waiting.size());
+    m_queue.forEach([&](queue_ticket ticket) {
+        order.push_back(ticket);
+    });
+    for (const queue_ticket ticket : order) {
+        const auto entry = m_waiting.find(ticket);
         pool_endpoint *endpoint = chooseEndpoint(entry->second.request, now);
+        if (endpoint == nullptr && mayGoToOtherZone(entry->second.request)) {
+            // It takes only endpoints that answer within a short time, and must not block requests that take any.
+            continue;
+        }
         if (endpoint == nullptr) {
             break;
         }
-        m_queue.takeFirst();
+        m_queue.take(ticket);
         decisions.emplace_back(grant(*endpoint, entry->second, now));
         m_tickets.erase(entry->second.holder);
         m_waiting.erase(entry);
@@ -229,6 +240,12 @@
     return decisions;
 }
 
+bool permit_pool::mayGoToOtherZone(const permit_request &request) noexcept
+{
+    // Instances of earlier versions state neither a fingerprint nor the caller's time.
+    return !request.owner && request.fingerprint && !request.callerTimeLeft;
+}
+
 granted_permit permit_pool::grant(pool_endpoint &endpoint, const waiting_entry &entry, monotonic_time now)
 {
     const endpoint_incarnation &incarnation = endpoint.limiter.entry().incarnation;
@@ -359,7 +376,7 @@
 time_span permit_pool::admissionMargin(const waiting_entry &entry)
 {
     // A refusal that the caller is not told of sends the request to another zone, within a bound of its own.
-    if (entry.standing == queue_standing::returning || entry.request.owner || !entry.request.callerTimeLeft) {
+    if (entry.standing == queue_standing::returning || entry.request.owner || mayGoToOtherZone(entry.request)) {
         return time_span::zero();
     }
     return std::chrono::duration_cast<time_span>(entry.request.maxAnswerTime * newRequestMargin);
--- a/libs/permits/permit_pool.h
+++ b/libs/permits/permit_pool.h
@@ -157,6 +157,8 @@
         double lowestSlowness = 1;
     };
 
+    /** Returns whether a refusal is not told to the caller, but sends the request to another zone. */
+    static bool mayGoToOtherZone(const permit_request &request) noexcept;
     /** Applies what the requesting instance knows: the role of this coordinator, and the request limit of the owner. */
     void updateLimits(const permit_request &request, monotonic_time now);
     pool_endpoint *chooseEndpoint(const permit_request &request, monotonic_time now);
--- a/libs/permits/permit_queue.cpp
+++ b/libs/permits/permit_queue.cpp
@@ -93,15 +93,21 @@
 
 queue_ticket permit_queue::takeFirst()
 {
-    const position first = *m_order.begin();
-    priority_state &state = m_priorities[first.priority];
-    state.virtualTime = std::max(state.virtualTime, first.startTag);
+    const queue_ticket first = m_order.begin()->ticket;
+    take(first);
+    return first;
+}
+
+void permit_queue::take(queue_ticket ticket)
+{
+    const entry &taken = m_entries.at(ticket);
+    priority_state &state = m_priorities[taken.orderKey.priority];
+    state.virtualTime = std::max(state.virtualTime, taken.orderKey.startTag);
     std::erase_if(state.nextStartTags, [&](const auto &item) {
         return std::max(item.second.fresh, item.second.returning) <= state.virtualTime;
     });
-    recordOutcome(m_entries.at(first.ticket), true);
-    erase(first.ticket);
-    return first.ticket;
+    recordOutcome(taken, true);
+    erase(ticket);
 }
 
 void permit_queue::erase(queue_ticket ticket)
--- a/libs/permits/permit_queue.h
+++ b/libs/permits/permit_queue.h
@@ -62,6 +62,9 @@
     /** Removes the first entry and advances the virtual time of its priority. Precondition: the queue is not empty. */
     queue_ticket takeFirst();
 
+    /** Removes an entry that is granted, and advances the virtual time of its priority. Precondition: the queue has the entry. */
+    void take(queue_ticket ticket);
+
     /** Calls @p visit with the ticket of each entry, in order. */
     template<class Visitor>
     void forEach(Visitor visit) const
