Count answers, and close stalled connections before refusing requests

Cause: answers that wait to be read counted nowhere, so that callers which do not read could use any amount of memory. When the budget was used up, the next request got 413, which callers do not retry, whoever held the memory. Freed buffers of up to 32 MB stayed with the allocator.

Change: - Answers are reserved before they are queued for writing. They and the responses of endpoints may use a fourth more than the limit, so that requests that ran are answered while new ones are refused. If an answer still has no room, its connection is closed. - While more than half is used, a connection that waits for an answer reads no further request. The same holds for one with more than 256 KB unread. - If a reservation fails, the connections with the most bytes are closed first, provided that the caller sent or read nothing for 1 s and no request of theirs is being processed or an answer waits to be read. Then the request is refused with 503, Retry-After and the new code 124 (memory_exhausted). 413 remains for bodies over the limit. - Refused and closed requests release their buffers at once. - The readiness address takes bodies of at most 4 KB. It uses no budget, so that it answers while the memory is used up. - The gateway sets the allocator to return buffers of 128 KB and more.

--- a/apps/sycamoretrayd/gateway/component_settings.cpp
+++ b/apps/sycamoretrayd/gateway/component_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "sycamoretrayd/gateway/forwarding_codec.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <random>
 
@@ -71,6 +73,9 @@
     result.address = settings.readinessAddress;
     constexpr std::uint32_t maxReadinessConnections = 64;
     result.maxConnections = maxReadinessConnections;
+    // Requests for readiness need no body. They do not share the memory of the callers, so that they are answered when it is used up.
+    constexpr std::uint64_t maxReadinessBodyBytes = 4096;
+    result.limits.bodyBytes = maxReadinessBodyBytes;
     return result;
 }
 
@@ -89,4 +94,11 @@
     return result;
 }
 
+void returnFreedMemory()
+{
+    constexpr int largeBufferBytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
+    mallopt(M_TRIM_THRESHOLD, largeBufferBytes);
+}
+
 } // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/component_settings.h
+++ b/apps/sycamoretrayd/gateway/component_settings.h
@@ -29,4 +29,10 @@
 /** Returns the settings of the request path. Thread-safe. */
 gateway_settings gatewaySettings(const gateway_daemon_settings &settings);
 
+/**
+ * Makes the allocator return the memory of large buffers to the system when they are freed. By default, it keeps buffers of up to
+ * 32 MB once one of that size was freed. Call before other threads are started.
+ */
+void returnFreedMemory();
+
 } // namespace sycamoretray
--- a/apps/sycamoretrayd/gateway/forwarding_codec.cpp
+++ b/apps/sycamoretrayd/gateway/forwarding_codec.cpp
@@ -63,6 +63,7 @@
     case result_code::malformed_request:
     case result_code::header_too_large:
     case result_code::body_too_large:
+    case result_code::memory_exhausted:
         // The memory that all its connections share was used up, or it does not read what the other instance accepted.
         return peer_outcome::unknown;
     default:
--- a/apps/sycamoretrayd/gateway/gateway_daemon.cpp
+++ b/apps/sycamoretrayd/gateway/gateway_daemon.cpp
@@ -652,6 +652,7 @@
 
 int gateway_daemon::impl::run()
 {
+    returnFreedMemory();
     const std::pair<const char *, std::error_code> servers[] = {
         { "caller_address", callerServer.start() },
         { "readiness_address", readinessServer.start() },
--- a/libs/base/result_code.cpp
+++ b/libs/base/result_code.cpp
@@ -46,6 +46,7 @@
     result_description{ result_code::customer_over_share, "customer_over_share", 429, "The customer's share of the queue is used up." },
     result_description{ result_code::instance_isolated, "instance_isolated", 503, "The instance reaches no server and no other instance that does." },
     result_description{ result_code::crash_suspect_delayed, "crash_suspect_delayed", 503, "Each server that ran the request crashed; it is run again later." },
+    result_description{ result_code::memory_exhausted, "memory_exhausted", 503, "The instance has no memory left for another request." },
     result_description{ result_code::server_connection_lost,
                         "server_connection_lost",
                         502,
--- a/libs/base/result_code.h
+++ b/libs/base/result_code.h
@@ -35,6 +35,7 @@
     customer_over_share = 121,
     instance_isolated = 122,
     crash_suspect_delayed = 123,
+    memory_exhausted = 124,
 
     // 2xx: it is unknown whether the request ran.
     server_connection_lost = 200,
--- a/libs/http_client/detail/client_connection.cpp
+++ b/libs/http_client/detail/client_connection.cpp
@@ -139,7 +139,7 @@
         m_pool->closedIdle(*this, false);
         return;
     }
-    if (!m_received.tryReserve(size)) {
+    if (!m_received.tryReserve(size, reservation_purpose::answer)) {
         fail(result_code::body_too_large);
         return;
     }
--- a/libs/http_entry/detail/http_session.cpp
+++ b/libs/http_entry/detail/http_session.cpp
@@ -5,7 +5,7 @@
 #include "http_message/http_writer.h"
 
 #include <boost/asio/dispatch.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +22,20 @@
 constexpr std::size_t typicalHeadBytes = 512;
 // Time that a caller has to read the last answer before its connection is closed.
 constexpr time_span lingerTimeout = std::chrono::seconds(1);
+// Time without a byte sent or read by the caller after which its connection may be closed for lack of memory.
+constexpr time_span stallTimeout = std::chrono::seconds(1);
+// Answers that wait to be read beyond which no further request is handed on.
+constexpr std::size_t maxUnreadBytes = 256ULL * 1024;
+
+/** Bytes that a response takes in memory. */
+std::uint64_t memoryOf(const http_response &response)
+{
+    std::uint64_t bytes = response.body.size();
+    for (const http_field &field : response.fields) {
+        bytes += sizeof(field) + field.name.size() + field.value.size();
+    }
+    return bytes;
+}
 
 } // namespace
 
@@ -30,11 +44,15 @@
     , m_socket(std::move(socket))
     , m_environment(std::move(environment))
     , m_parser(m_environment->settings.limits)
+    , m_lastProgress(steadyNow())
     , m_received(m_environment->settings.budget)
     , m_outputReservation(m_environment->settings.budget)
     , m_writingReservation(m_environment->settings.budget)
 {
     m_environment->connections.fetch_add(1, std::memory_order_relaxed);
+    if (m_environment->settings.budget) {
+        m_environment->settings.budget->add(*this);
+    }
     boost::system::error_code error;
     const auto caller = m_socket.remote_endpoint(error);
     m_callerAddress = error ? std::string() : caller.address().to_string();
@@ -42,6 +60,9 @@
 
 http_session::~http_session()
 {
+    if (m_environment->settings.budget) {
+        m_environment->settings.budget->remove(*this);
+    }
     m_environment->connections.fetch_sub(1, std::memory_order_relaxed);
 }
 
@@ -57,7 +78,12 @@
 
 void http_session::readMore()
 {
-    if (m_readActive || isClosed() || m_unparsed.size() >= maxUnparsedBytes) {
+    const bool waitsForAnswer = !m_pending.empty() || m_writeActive;
+    if (m_readActive || m_deferred > 0 || isClosed() || m_unparsed.size() >= maxUnparsedBytes || (!m_lingering && m_discarded >= maxUnparsedBytes)) {
+        return;
+    }
+    if (waitsForAnswer && !m_noMoreRequests && isMemoryScarce()) {
+        // written() continues.
         return;
     }
     m_readActive = true;
@@ -76,10 +102,10 @@
     if (isClosed()) {
         return;
     }
-    if (!m_lingering && !m_noMoreRequests && !m_received.tryReserve(size)) {
-        m_unparsed.clear();
-        refuse(result_code::body_too_large);
-    } else if (!m_lingering) {
+    m_lastProgress = steadyNow();
+    if (m_noMoreRequests || m_lingering) {
+        m_discarded += size;
+    } else if (reserveReceived(size)) {
         m_unparsed.append(m_input.data(), size);
         parseReceived();
         updateDeadline();
@@ -87,6 +113,26 @@
     readMore();
 }
 
+bool http_session::reserveReceived(std::size_t size)
+{
+    if (m_received.tryReserve(size)) {
+        return true;
+    }
+    if (!m_pending.empty() || m_writeActive) {
+        // written() tries again.
+        m_deferred = size;
+        return false;
+    }
+    m_unparsed.clear();
+    refuse(result_code::memory_exhausted);
+    return false;
+}
+
+bool http_session::isMemoryScarce() const noexcept
+{
+    return m_environment->settings.budget && m_environment->settings.budget->isScarce();
+}
+
 void http_session::parseReceived()
 {
     std::size_t position = 0;
@@ -99,6 +145,7 @@
         m_parsedBytes += used;
         if (m_parser.state() == http_parse_state::failed) {
             refuse(m_parser.error());
+            position = m_unparsed.size();
             break;
         }
         if (m_parser.state() == http_parse_state::complete) {
@@ -124,7 +171,9 @@
 {
     // A request behind the answer that closes the connection must not be passed on, as it would get no answer.
     const bool answersAreLast = isClosing() && !m_pending.empty();
-    return !m_noMoreRequests && !answersAreLast && m_pending.size() < m_environment->settings.pipelinedRequests;
+    const std::size_t unread = m_output.size() + m_writing.size() - m_sent;
+    const bool waits = unread > maxUnreadBytes || (isMemoryScarce() && (!m_pending.empty() || unread > 0));
+    return !isClosed() && !m_noMoreRequests && !answersAreLast && !waits && m_pending.size() < m_environment->settings.pipelinedRequests;
 }
 
 void http_session::requestComplete()
@@ -151,11 +200,25 @@
 void http_session::refuse(result_code code)
 {
     m_noMoreRequests = true;
-    m_requestDeadline = noDeadline;
+    discardRequest();
     const std::uint64_t sequence = m_firstSequence + m_pending.size();
-    addPending().keepAlive = false;
+    pending_answer &pending = addPending();
+    pending.keepAlive = false;
+    pending.refused = true;
     const auto &errorResponse = m_environment->settings.errorResponse;
-    deliverOnStrand(sequence, errorResponse ? errorResponse(code) : errorAnswer(code, request_id()), true);
+    http_response response = errorResponse ? errorResponse(code) : errorAnswer(code, request_id());
+    if (code == result_code::memory_exhausted) {
+        response.fields.push_back({ "Retry-After", "1" });
+    }
+    deliverOnStrand(sequence, std::move(response), true);
+}
+
+void http_session::discardRequest()
+{
+    m_requestDeadline = noDeadline;
+    m_parser = http_request_parser(m_environment->settings.limits);
+    m_parsedBytes = 0;
+    m_received.release();
 }
 
 void http_session::sendContinue()
@@ -186,6 +249,9 @@
     if (pending.ready) {
         return;
     }
+    if (response && !pending.refused && !reserveAnswer(pending, *response)) {
+        return;
+    }
     m_closeRequested = m_closeRequested || closeConnection;
     pending.response = std::move(response);
     pending.ready = true;
@@ -193,6 +259,16 @@
     queueReadyAnswers();
 }
 
+bool http_session::reserveAnswer(pending_answer &pending, const http_response &response)
+{
+    const bool reserved = pending.reservation.tryReserve(memoryOf(response), reservation_purpose::answer);
+    if (!reserved) {
+        // The request may have run, so that it must not be answered with a refusal.
+        closeOnStrand();
+    }
+    return reserved && !isClosed();
+}
+
 void http_session::queueReadyAnswers()
 {
     while (!m_pending.empty() && m_pending.front().ready && !m_closeAfterWrite) {
@@ -220,20 +296,33 @@
         return;
     }
     m_writeActive = true;
-    m_writing.clear();
-    std::swap(m_writing, m_output);
+    m_writing = std::exchange(m_output, {});
+    m_sent = 0;
     m_writingReservation = std::move(m_outputReservation);
     m_writeDeadline = steadyNow() + m_environment->settings.transferTimeout;
     updateDeadline();
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-        self->written(!error);
+    writeSome();
+}
+
+void http_session::writeSome()
+{
+    m_socket.async_write_some(boost::asio::buffer(m_writing) + m_sent, [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+        self->wroteSome(!error, size);
     });
 }
 
-void http_session::written(bool success)
+void http_session::wroteSome(bool success, std::size_t size)
 {
+    m_sent += size;
+    m_lastProgress = steadyNow();
+    if (success && !isClosed() && m_sent < m_writing.size()) {
+        writeSome();
+        return;
+    }
     m_writeActive = false;
     m_writeDeadline = noDeadline;
+    m_writing = {};
+    m_sent = 0;
     m_writingReservation.release();
     if (isClosed()) {
         return;
@@ -242,11 +331,20 @@
         closeOnStrand();
         return;
     }
+    written();
+}
+
+void http_session::written()
+{
     if (m_closeAfterWrite && m_output.empty()) {
         linger();
         return;
     }
     writeMore();
+    const std::size_t deferred = std::exchange(m_deferred, 0);
+    if (deferred > 0) {
+        received(deferred);
+    }
     parseReceived();
     updateDeadline();
     readMore();
@@ -256,7 +354,9 @@
 {
     // Closing a socket with unread data resets the connection, and the caller could lose an answer that it has not read yet.
     m_lingering = true;
+    m_deferred = 0;
     m_unparsed.clear();
+    discardRequest();
     boost::system::error_code ignored;
     m_socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
     m_deadline.store((steadyNow() + lingerTimeout).time_since_epoch().count(), std::memory_order_relaxed);
@@ -313,24 +413,61 @@
 
 void http_session::closeOnStrand()
 {
+    for (const auto &function : shutDown()) {
+        function();
+    }
+}
+
+std::vector<std::function<void()>> http_session::shutDown()
+{
+    std::vector<std::function<void()>> functions;
     if (m_closed.exchange(true)) {
-        return;
+        return functions;
     }
     boost::system::error_code ignored;
     m_socket.close(ignored);
-    m_received.release();
-    m_outputReservation.release();
-    m_writingReservation.release();
-    std::vector<std::function<void()>> functions;
     for (pending_answer &pending : m_pending) {
         if (pending.disconnectHandler) {
             functions.push_back(std::move(pending.disconnectHandler));
         }
     }
     m_pending.clear();
-    for (const auto &function : functions) {
-        function();
+    m_received.release();
+    m_outputReservation.release();
+    m_writingReservation.release();
+    // Handlers of requests keep the session. The buffers may be in use by a caller of this function, so that they are released later.
+    boost::asio::post(m_strand, [self = shared_from_this()] {
+        self->m_unparsed = {};
+        self->m_output = {};
+        self->discardRequest();
+    });
+    return functions;
+}
+
+std::uint64_t http_session::reservedBytes() const noexcept
+{
+    std::uint64_t bytes = m_received.reserved() + m_outputReservation.reserved() + m_writingReservation.reserved();
+    for (const pending_answer &pending : m_pending) {
+        bytes += pending.reservation.reserved();
     }
+    return bytes;
+}
+
+std::uint64_t http_session::reclaimableBytes() const noexcept
+{
+    const bool waitsForCaller = m_writeActive || m_pending.empty();
+    const bool stalled = waitsForCaller && !isClosed() && steadyNow() - m_lastProgress >= stallTimeout;
+    return stalled ? reservedBytes() : 0;
+}
+
+void http_session::reclaim()
+{
+    // The handlers may use other connections, also the one that reserves memory now.
+    boost::asio::post(m_strand, [functions = shutDown()] {
+        for (const auto &function : functions) {
+            function();
+        }
+    });
 }
 
 } // namespace sycamoretray::detail
--- a/libs/http_entry/detail/http_session.h
+++ b/libs/http_entry/detail/http_session.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sycamoretray::detail
 {
@@ -31,7 +32,7 @@
  * Thread safety: start(), deliver(), closeIfOverdue(), onCallerDisconnected(), close() and closeIfIdle() from any thread; the rest runs on the session's
  * strand.
  */
-class http_session : public std::enable_shared_from_this<http_session>
+class http_session final : public std::enable_shared_from_this<http_session>, public budget_holder
 {
 public:
     using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
@@ -39,8 +40,6 @@
 
     http_session(socket_type socket, std::shared_ptr<session_environment> environment);
     ~http_session();
-    http_session(const http_session &) = delete;
-    http_session &operator=(const http_session &) = delete;
 
     void start();
 
@@ -62,6 +61,17 @@
     /** Closes the connection unless a request is being received or an answer is outstanding. */
     void closeIfIdle();
 
+    /**
+     * Returns the reserved bytes if the caller has neither sent nor read a byte for a time, and either has an answer to read or
+     * has no request that was handed on; otherwise 0.
+     *
+     * Thread safety: as for the budget.
+     */
+    std::uint64_t reclaimableBytes() const noexcept override;
+
+    /** Closes the connection. Thread safety: as for the budget. */
+    void reclaim() override;
+
     /** IP address of the caller; empty if it had disconnected when the session was created. */
     const std::string &callerAddress() const noexcept
     {
@@ -82,10 +92,18 @@
         bool ready = false;
         bool headRequest = false;
         bool keepAlive = true;
+        /** The request was refused by the session. Its short answer, the last of the connection, needs no reservation. */
+        bool refused = false;
     };
 
     void readMore();
     void received(std::size_t size);
+    /** Reserves memory for @p size bytes in m_input. Returns false if they can't be parsed now or not at all. */
+    bool reserveReceived(std::size_t size);
+    bool isMemoryScarce() const noexcept;
+    std::uint64_t reservedBytes() const noexcept;
+    /** Reserves memory for an answer. Closes the connection and returns false if there is none. */
+    bool reserveAnswer(pending_answer &pending, const http_response &response);
     void parseReceived();
     void requestComplete();
     pending_answer &addPending();
@@ -98,9 +116,14 @@
     /** Returns whether the next request may be read. */
     bool readsNextRequest() const noexcept;
     void writeMore();
-    void written(bool success);
+    void writeSome();
+    void wroteSome(bool success, std::size_t size);
+    void written();
     void linger();
+    void discardRequest();
     void closeOnStrand();
+    /** Closes the socket and releases all memory. Returns the handlers of requests that will not be answered. */
+    std::vector<std::function<void()>> shutDown();
     void updateDeadline();
 
     static constexpr monotonic_time noDeadline = monotonic_time::max();
@@ -117,6 +140,8 @@
     std::uint64_t m_firstSequence = 0;
     std::string m_output;
     std::string m_writing;
+    /** Bytes of m_writing that were sent. */
+    std::size_t m_sent = 0;
     bool m_writeActive = false;
     bool m_readActive = false;
     bool m_noMoreRequests = false;
@@ -128,7 +153,12 @@
     std::atomic<std::int64_t> m_deadline{ 0 };
     monotonic_time m_requestDeadline = noDeadline;
     monotonic_time m_writeDeadline = noDeadline;
+    monotonic_time m_lastProgress;
     bool m_lingering = false;
+    /** Bytes in m_input that wait for memory until an answer has been written. */
+    std::size_t m_deferred = 0;
+    /** Bytes that were received after the last request. */
+    std::size_t m_discarded = 0;
     /** Memory reserved for data received that does not belong to a complete request yet. */
     budget_reservation m_received;
     /** Part of m_received that the parser has consumed for the incomplete request. */
