--- a/tests/unit/permits/uneven_endpoints_test.cpp
+++ b/tests/unit/permits/uneven_endpoints_test.cpp
@@ -106,3 +106,33 @@
     cr_expect(late < 0.15, "%.3f late", late);
     cr_expect(served > 0.99, "%.3f served, %zu refused, %zu unknown", served, all.refused, all.unknown);
 }
+
+// Load pattern: three zones, all callers in one of them, 0.95 of the capacity, endpoints of speeds 0.6, 1 and 1.4. Guards against requests that
+// ask one zone after another and block those that wait in a zone for good, so that worker slots stay idle.
+Test(uneven_endpoints, requests_that_ask_other_zones_block_no_others)
+{
+    constexpr std::size_t endpoints = 36;
+    constexpr std::uint32_t workerSlots = 3;
+    constexpr time_span work = 130ms;
+    simulation_settings settings;
+    settings.dividedByKey = false;
+    settings.endpoints = endpoints;
+    settings.slots = workerSlots;
+    settings.work = work;
+    settings.latencyTarget = 600ms;
+    settings.timeout = 2s;
+    settings.callerZone = 0;
+    permit_simulation simulation(settings);
+    const std::array<double, 4> speeds{ 0.6, 1, 1.4, 1 };
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        simulation.setSlowness(i, 1 / speeds[i % speeds.size()]);
+    }
+    simulation.perSecond = [=](time_span) {
+        return endpoints * workerSlots / std::chrono::duration<double>(work).count() * 0.95;
+    };
+    simulation.runArrivals(15s);
+    simulation.runToEnd();
+    const simulation_result all = simulation.result();
+    // Below the capacity, hardly any request has to be refused.
+    cr_expect(all.refused * 200 < all.submitted, "%zu of %zu refused", all.refused, all.submitted);
+}
